--- /dev/null
+++ b/src/logic.cpp
@@ -0,0 +1,650 @@
+// All decisions of a router. Call it through `Router` in logic.hpp, which is its whole interface: report each
+// event as it comes, then call settle() once for the moment. Events only change the wanted state (what waits
+// for a relay, what is known of the caches); settle() is the one place that turns it into relays, declines,
+// terminations and timers. One Router serves one instance, single-threaded, and shares nothing.
+#include "logic.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <limits>
+#include <random>
+#include <unordered_map>
+
+namespace poppyscale {
+namespace {
+
+constexpr Nanos kMillisecond = 1'000'000;
+constexpr Nanos kSecond = 1'000 * kMillisecond;
+constexpr Nanos kNever = std::numeric_limits<Nanos>::max();
+
+constexpr int kEntries = 4;                        // hint entries a key, of the source's 3 to 6
+constexpr std::size_t kCountersPerKey = 16;        // a quarter full at four entries: about 0.4% false hits
+constexpr std::size_t kLeastCounters = 1 << 10;
+constexpr std::size_t kMostCounters = 10 << 20;    // the source's largest hint space
+constexpr Nanos kGeneration = 10 * kSecond;
+constexpr std::size_t kCandidates = 2;
+constexpr std::size_t kMostCandidates = 3;
+constexpr double kYieldMargin = 2;
+constexpr double kYieldFloor = 2;
+
+constexpr Nanos kMemory = 5 * kSecond;             // over which a cache's endings are weighed
+constexpr Nanos kShareMemory = 2 * kSecond;        // over which a customer's use is weighed
+
+std::uint64_t mix(std::uint64_t x) {
+    x ^= x >> 30;
+    x *= 0xbf58476d1ce4e5b9ULL;
+    x ^= x >> 27;
+    x *= 0x94d049bb133111ebULL;
+    return x ^ (x >> 31);
+}
+
+// Fixed for all builds and routers: routers agree on a key's candidates without a word between them.
+std::uint64_t hashOf(std::string_view text) {
+    std::uint64_t h = 0xcbf29ce484222325ULL;
+    for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+    return mix(h);
+}
+
+class Decaying {
+  public:
+    explicit Decaying(Nanos life) : life_(life) {}
+    double read(Nanos now) {
+        if (now > at_ && sum_ != 0) sum_ *= std::exp(-static_cast<double>(now - at_) / life_);
+        at_ = std::max(at_, now);
+        return sum_;
+    }
+    void add(Nanos now, double x) { sum_ = read(now) + x; }
+    void clear() { sum_ = 0; }
+
+  private:
+    double life_;
+    double sum_ = 0;
+    Nanos at_ = 0;
+};
+
+struct Generation {
+    explicit Generation(std::size_t counters) : counters(counters, 0) {}
+
+    template <class Visit>
+    bool each(std::uint64_t key, Visit visit) const {
+        const std::uint64_t step = mix(key ^ 0x9e3779b97f4a7c15ULL) | 1;
+        for (int i = 0; i < kEntries; ++i)
+            if (!visit((key + static_cast<std::uint64_t>(i) * step) & (counters.size() - 1))) return false;
+        return true;
+    }
+    bool holds(std::uint64_t key) const {
+        return each(key, [&](std::size_t at) { return counters[at] != 0; });
+    }
+    void enter(std::uint64_t key) {
+        each(key, [&](std::size_t at) { return counters[at] += counters[at] != 255, true; });
+        ++keys;
+    }
+    // A saturated counter has lost its count: counting it down would unregister keys that are still held.
+    void remove(std::uint64_t key) {
+        each(key, [&](std::size_t at) { return counters[at] -= counters[at] != 255, true; });
+        --keys;
+    }
+
+    std::vector<std::uint8_t> counters;
+    std::int64_t keys = 0;
+};
+
+class Filter {
+  public:
+    bool holds(std::uint64_t key) const { return current_.holds(key) || previous_.holds(key); }
+    void enter(std::uint64_t key) {
+        if (!current_.holds(key)) current_.enter(key);
+    }
+    void clear(std::uint64_t key) {
+        for (Generation* g : {&current_, &previous_})
+            if (g->holds(key)) g->remove(key);
+    }
+    void wipe() {
+        current_ = Generation(current_.counters.size());
+        previous_ = Generation(kLeastCounters);
+    }
+    // Sized by what the last generation took in, so that a scan crowds one generation and not the next.
+    void swap() {
+        std::size_t counters = kLeastCounters;
+        const auto wanted = static_cast<std::size_t>(std::max<std::int64_t>(current_.keys, 0)) * kCountersPerKey;
+        while (counters < wanted && counters < kMostCounters / 2) counters *= 2;
+        previous_ = std::move(current_);
+        current_ = Generation(counters);
+    }
+
+  private:
+    Generation current_{kLeastCounters * 4};
+    Generation previous_{kLeastCounters};
+};
+
+struct Cache {
+    Cache(const std::string& name, Nanos fallSpan) : name(name), hash(hashOf(name)), sentLately(fallSpan) {}
+
+    std::string name;
+    std::string zone;
+    std::uint64_t hash;
+    std::int64_t cell = 0;
+    Presence presence = Presence::gone;
+    Nanos cameUp = 0;
+    double size = 1;
+    bool origin = false;
+
+    Filter filter;
+    int out = 0;
+    double window = 4;          // relays it may have out; learnt from how its answers fare against the goals
+    double lateness = 0;        // running mean of an answer's time as a part of its goal
+    Nanos windowCutAt = 0;
+    double credit = 2;          // further relays it may take; its answers earn them
+    Decaying endings{kMemory};
+    Decaying failures{kMemory};
+    Decaying sentLately;
+    Nanos asideUntil = 0;       // set aside for its failures until then
+    Nanos asideFor = kSecond;
+    int trialsLeft = 0;         // answers it owes before it counts as recovered
+};
+
+enum class Standing : std::uint8_t { out, neverRan, mayHaveRun };
+
+struct Relay {
+    Cache* to;
+    Nanos sentAt;
+    Standing standing;
+};
+
+struct Usage {
+    const Customer* customer;
+    Decaying sent{kShareMemory};
+};
+
+struct Command {
+    CommandId id = 0;
+    const Verb* verb = nullptr;
+    Usage* usage = nullptr;
+    std::uint64_t key = 0;
+    bool keyed = false;
+    bool write = false;
+    bool closed = false;
+    bool failedBefore = false;  // a relay failed: the next one is a further relay and needs credit
+    bool beyondShare = false;
+    bool atCold = false;        // its miss was at a cold cache
+    Nanos goalAt = 0;
+    Nanos giveUpAt = 0;
+    std::vector<Relay> relays;
+    std::vector<Cache*> lacking;
+    std::vector<Cache*> candidates;
+    std::uint64_t candidatesOf = 0;  // the fleet's state that they were worked out for
+};
+
+}  // namespace
+
+struct Router::Inside {
+    Inside(Terms given, Host& host, Nanos now) : terms(std::move(given)), host(host), chance(), swapAt(now) {
+        std::seed_seq seed{static_cast<std::uint32_t>(terms.seed), static_cast<std::uint32_t>(terms.seed >> 32)};
+        chance.seed(seed);
+        swapAt = now + kGeneration;
+        for (const Customer& c : terms.customers) usages.push_back(std::make_unique<Usage>(Usage{&c}));
+        // Spread: routers restarted together would otherwise ask discovery in the same moment.
+        askAt = terms.listOnRequest ? now + spread(std::min(terms.askWithin / 8, kSecond)) : kNever;
+    }
+
+    Nanos spread(Nanos width) {
+        return static_cast<Nanos>(static_cast<double>(width) * (chance() / 4294967296.0));
+    }
+
+    double warmth(const Cache& c, Nanos now) const {
+        if (c.cameUp <= 0 || now - c.cameUp >= terms.ramp) return 1;
+        const double done = static_cast<double>(std::max<Nanos>(now - c.cameUp, 0)) / terms.ramp;
+        return terms.startShare + (1 - terms.startShare) * done;
+    }
+
+    Nanos typical(Nanos now) {
+        const double n = answers.read(now);
+        return n < 0.5 ? 0 : static_cast<Nanos>(answerTime.read(now) / n);
+    }
+
+    bool usable(const Cache& c, Nanos now) const {
+        return c.presence == Presence::ready && !c.origin && c.asideUntil <= now;
+    }
+
+    // The one test of what may still be done with a command; `to` is null for a decline. It guards against an
+    // effect happening twice and against telling a client that a retry is harmless when it is not.
+    bool legal(const Command& cmd, const Cache* to, Nanos now) const {
+        if (cmd.closed) return false;
+        const Relay* mayHaveRun = nullptr;
+        for (const Relay& r : cmd.relays) {
+            if (to && r.standing == Standing::out) return false;
+            if (!mayHaveRun && r.standing != Standing::neverRan) mayHaveRun = &r;
+        }
+        if (to && (static_cast<int>(cmd.relays.size()) >= terms.maxRelays || now >= cmd.giveUpAt ||
+                   to->presence != Presence::ready))
+            return false;
+        if (!mayHaveRun || cmd.verb->effect == Effect::pure) return true;
+        if (cmd.verb->effect == Effect::effectful) return false;
+        if (!to) return cmd.verb->group == Group::all;
+        const bool sameZone = to->zone == mayHaveRun->to->zone;
+        const bool inGroup = cmd.verb->group == Group::all || (cmd.verb->group == Group::zone && sameZone) ||
+                             (cmd.verb->group == Group::cell && to->cell == mayHaveRun->to->cell);
+        return inGroup && now - mayHaveRun->sentAt < cmd.verb->remembered;
+    }
+
+    const std::vector<Cache*>& candidatesFor(Command& cmd, Nanos now) {
+        if (cmd.candidatesOf == fleetState) return cmd.candidates;
+        cmd.candidatesOf = fleetState;
+        std::array<std::pair<double, Cache*>, kMostCandidates> best{};
+        for (Cache* c : fleet) {
+            if (!usable(*c, now)) continue;
+            const double u = (static_cast<double>(mix(cmd.key ^ c->hash) >> 11) + 0.5) * 0x1p-53;
+            std::pair<double, Cache*> entry{std::max(c->size, 1e-9) * warmth(*c, now) / -std::log(u), c};
+            for (auto& b : best)
+                if (!b.second || entry.first > b.first) std::swap(b, entry);
+        }
+        cmd.candidates.clear();
+        for (const auto& b : best)
+            if (b.second) cmd.candidates.push_back(b.second);
+        return cmd.candidates;
+    }
+
+    // Routers that each keep to their part keep the sum: the warm pace is this router's own part of the fleet's.
+    bool coldBudgetLeft(Cache& c, Nanos now) {
+        const double w = warmth(c, now);
+        if (w >= 1) return true;
+        // Half, since a sum that decays over the span can let through twice its bound within one span.
+        return c.sentLately.read(now) < 0.5 * terms.tipMultiple * w * warmPace * std::max(c.size, 1e-9);
+    }
+
+    bool room(const Command& cmd, Cache& c, Nanos now) {
+        if (c.out >= static_cast<int>(c.window) || !legal(cmd, &c, now)) return false;
+        if (c.trialsLeft > 0 && cmd.verb->effect != Effect::pure) return false;
+        if (cmd.failedBefore && c.credit < 1) return false;
+        for (const Relay& r : cmd.relays)
+            if (cmd.failedBefore && r.to == &c && !c.origin) return false;
+        return coldBudgetLeft(c, now);
+    }
+
+    // The mechanism: the hinted candidate, else rendezvous order, and one that is too busy yields.
+    Cache* ordinary(Command& cmd, Nanos now) {
+        const std::vector<Cache*>& candidates = candidatesFor(cmd, now);
+        const double busy = std::max(kYieldFloor, kYieldMargin * meanOut);
+        Cache* yielding = nullptr;
+        for (const bool hinted : {true, false})
+            for (std::size_t i = 0; i < std::min(candidates.size(), kCandidates); ++i) {
+                Cache* c = candidates[i];
+                if (c->filter.holds(cmd.key) != hinted || !room(cmd, *c, now)) continue;
+                if (c->out < busy) return c;
+                if (!yielding) yielding = c;
+            }
+        if (candidates.size() > kCandidates) {
+            Cache* c = candidates[kCandidates];
+            if (room(cmd, *c, now) && (!yielding || c->filter.holds(cmd.key)) && c->out < busy) return c;
+        }
+        return yielding;
+    }
+
+    bool hintedSomewhere(Command& cmd, Nanos now) {
+        const std::vector<Cache*>& candidates = candidatesFor(cmd, now);
+        return std::any_of(candidates.begin(), candidates.end(),
+                           [&](const Cache* c) { return c->filter.holds(cmd.key); });
+    }
+
+    Cache* originFor(Command& cmd, Nanos now) {
+        Cache* best = nullptr;
+        for (Cache* c : origins)
+            if (c->presence == Presence::ready && (!best || c->out < best->out)) best = c;
+        if (!best || !room(cmd, *best, now)) return nullptr;
+        // Misses at cold caches may not be what brings the origin down: a quarter of its window at most.
+        if (cmd.atCold && coldFetches >= std::max(1, static_cast<int>(best->window / 4))) return nullptr;
+        return best;
+    }
+
+    struct Place {
+        Cache* to;
+        bool waitsForFetch;
+    };
+
+    Place place(Command& cmd, Nanos now) {
+        if (!terms.aside) return {ordinary(cmd, now), false};
+        if (cmd.write) return {originFor(cmd, now), false};
+        const bool lastRelay = static_cast<int>(cmd.relays.size()) + 1 >= terms.maxRelays;
+        const bool hinted = !lastRelay && hintedSomewhere(cmd, now);
+        if (!hinted && fetches.contains(cmd.key)) return {nullptr, true};
+        if (hinted || (cmd.lacking.empty() && !cmd.candidates.empty() && !lastRelay))
+            return {ordinary(cmd, now), false};
+        return {originFor(cmd, now), false};
+    }
+
+    Nanos relayUntil(const Command& cmd, const Cache& to, Nanos now) {
+        if (to.origin || cmd.verb->effect != Effect::pure || !cmd.relays.empty()) return cmd.giveUpAt;
+        // Long against what answers take, and early enough that another cache can still make the goal. When all
+        // answers are slow no such moment exists, so that a slow fleet isn't asked everything twice.
+        const Nanos usual = typical(now);
+        const Nanos until = now + std::max(6 * usual, cmd.verb->goal / 2);
+        return until + usual < std::min(cmd.goalAt, cmd.giveUpAt) ? until : cmd.giveUpAt;
+    }
+
+    void send(Command& cmd, Cache& to, Nanos now) {
+        if (cmd.failedBefore) to.credit -= 1;
+        if (cmd.usage && cmd.relays.empty()) cmd.usage->sent.add(now, 1);
+        if (to.origin && !cmd.write && cmd.keyed) fetches[cmd.key] = &cmd;
+        if (to.origin && cmd.atCold) ++coldFetches;
+        if (terms.aside && cmd.write)
+            for (Cache* c : fleet) c->filter.clear(cmd.key);
+        host.relay(cmd.id, to.name, relayUntil(cmd, to, now));
+        cmd.relays.push_back({&to, now, Standing::out});
+        ++to.out;
+        to.sentLately.add(now, 1);
+    }
+
+    void finish(Command& cmd, Nanos now) {
+        if (legal(cmd, nullptr, now)) {
+            // Half of it by chance: clients told the same would come back as one wave.
+            const Nanos half = terms.maxComeBack / 2;
+            host.decline(cmd.id, terms.comeBackAllowed ? half + spread(half) : 0);
+        } else {
+            host.terminate(cmd.id);
+        }
+        cmd.closed = true;
+    }
+
+    bool beyondShare(const Usage* usage, Nanos now) {
+        if (!usage || usage->customer->quotaPerSecond <= 0) return false;
+        double sent = 0;
+        double quota = 0;
+        for (const auto& u : usages) {
+            sent += u->sent.read(now);
+            quota += u->customer->quotaPerSecond;
+        }
+        // A router can't know its part of all traffic: the customers' mean use of their shares stands for it.
+        const double life = static_cast<double>(kShareMemory) / kSecond;
+        const double fair = std::max(life / terms.routers, sent / std::max(quota, 1e-9));
+        Usage* own = const_cast<Usage*>(usage);
+        return own->sent.read(now) / usage->customer->quotaPerSecond > fair;
+    }
+
+    void cutWindow(Cache& c, Nanos now, Nanos spent, double factor) {
+        // Once a round trip: all that was out together tells of one and the same jam.
+        if (now - c.windowCutAt < spent) return;
+        c.window = std::max(1.0, c.window * factor);
+        c.windowCutAt = now;
+    }
+
+    void learnAnswer(Cache& c, const Command& cmd, Nanos now, Nanos spent) {
+        const double part = static_cast<double>(spent) / static_cast<double>(std::max<Nanos>(cmd.verb->goal, 1));
+        c.lateness += (part - c.lateness) / 16;
+        if (c.lateness > 0.5)
+            cutWindow(c, now, spent, 0.85);
+        else if (c.out + 1 >= c.window * 0.75)
+            c.window += c.windowCutAt == 0 ? 0.5 : 1 / c.window;
+        c.credit = std::min(c.credit + 0.2, 10.0);
+        answers.add(now, 1);
+        answerTime.add(now, static_cast<double>(spent));
+        c.endings.add(now, 1);
+        c.failures.add(now, part > 1 ? 0.5 : 0);
+        if (part > 1) return judge(c, now);
+        if (c.trialsLeft > 0 && --c.trialsLeft == 0) c.asideFor = kSecond;
+    }
+
+    void learn(Cache& c, const Command& cmd, const RelayEnd& end, Nanos now) {
+        switch (end.ending) {
+            case Ending::answered: return learnAnswer(c, cmd, now, end.spent);
+            case Ending::noneHere: return c.endings.add(now, 1);
+            case Ending::undone:
+            case Ending::notSent: return;
+            case Ending::noRoom: return cutWindow(c, now, typical(now), 0.7);
+            case Ending::timedOut:
+                // Sent with hardly any time left, it proves nothing of the cache.
+                if (end.spent < 2 * typical(now)) return;
+                cutWindow(c, now, end.spent, 0.7);
+                break;
+            case Ending::noRoute:
+            case Ending::cut:
+                c.filter.wipe();  // it may well have come back empty
+                break;
+            case Ending::errored: break;
+        }
+        c.endings.add(now, 1);
+        c.failures.add(now, 1);
+        judge(c, now);
+    }
+
+    // Against the fleet's median, so that what ails all of them is held against none.
+    void judge(Cache& c, Nanos now) {
+        if (c.origin || c.asideUntil > now) return;
+        std::vector<double> shares;
+        std::size_t ready = 0;
+        std::size_t gone = 0;
+        for (Cache* other : fleet) {
+            if (other->presence != Presence::ready) continue;
+            ++ready;
+            if (other->asideUntil > now) ++gone;
+            if (const double n = other->endings.read(now); n >= 0.5) shares.push_back(other->failures.read(now) / n);
+        }
+        if (shares.empty() || (gone + 1) * 2 > ready) return;
+        std::nth_element(shares.begin(), shares.begin() + shares.size() / 2, shares.end());
+        const double median = shares[shares.size() / 2];
+        const double n = c.endings.read(now);
+        const double f = c.failures.read(now);
+        const double excess = f - median * n;
+        // More than chance would give at that median, and enough to matter.
+        const bool clear = excess > 1.5 + 1.5 * std::sqrt(n * std::max(median, 0.02)) && f > (2 * median + 0.1) * n;
+        if (!clear && !(c.trialsLeft > 0 && f > 0.5)) return;
+        host.log("set aside " + c.name + ": " + std::to_string(f) + " of " + std::to_string(n) +
+                 " failed, fleet median " + std::to_string(median));
+        if (c.trialsLeft > 0) c.asideFor = std::min(2 * c.asideFor, 16 * kSecond);
+        c.asideUntil = now + c.asideFor + spread(c.asideFor / 4);
+        c.trialsLeft = 3;
+        c.window = 1;
+        c.endings.clear();
+        c.failures.clear();
+        ++fleetState;
+    }
+
+    void registerEnd(Command& cmd, Cache& from, Ending ending) {
+        const bool answered = ending == Ending::answered;
+        if (!from.origin) {
+            if (ending == Ending::noneHere) {
+                cmd.lacking.push_back(&from);
+                from.filter.clear(cmd.key);
+            } else if (answered && cmd.keyed && !(terms.aside && cmd.write)) {
+                from.filter.enter(cmd.key);
+            }
+            return;
+        }
+        if (auto it = fetches.find(cmd.key); it != fetches.end() && it->second == &cmd) fetches.erase(it);
+        for (Cache* c : cmd.lacking)
+            if (answered && !cmd.write && cmd.keyed)
+                c->filter.enter(cmd.key);
+            else
+                c->filter.clear(cmd.key);
+    }
+
+    void settle(Nanos now) {
+        refresh(now);
+        if (waiting.size() > 1)
+            std::stable_sort(waiting.begin(), waiting.end(), [](const Command* a, const Command* b) {
+                if (a->beyondShare != b->beyondShare) return b->beyondShare;
+                return a->verb->utility > b->verb->utility;
+            });
+        Nanos wakeWanted = askAt;
+        std::size_t kept = 0;
+        for (std::size_t i = 0; i < waiting.size(); ++i) {
+            Command& cmd = *waiting[i];
+            if (!cmd.closed) {
+                const Place at = place(cmd, now);
+                if (at.to) {
+                    send(cmd, *at.to, now);
+                    continue;
+                }
+                const Nanos lastStart = std::min(cmd.goalAt, cmd.giveUpAt) - typical(now);
+                const bool roomMayCome = at.waitsForFetch || !cmd.beyondShare;
+                const bool barred = cmd.failedBefore || static_cast<int>(cmd.relays.size()) >= terms.maxRelays ||
+                                    (cmd.candidates.empty() && origins.empty());
+                if (now < lastStart && roomMayCome && !barred) {
+                    wakeWanted = std::min(wakeWanted, std::min(lastStart, now + 25 * kMillisecond));
+                    waiting[kept++] = &cmd;
+                    continue;
+                }
+                finish(cmd, now);
+            }
+            commands.erase(cmd.id);
+        }
+        waiting.resize(kept);
+        if (wakeWanted != kNever && (wakeAt <= now || wakeWanted < wakeAt)) {
+            wakeAt = std::max(wakeWanted, now + 1);
+            host.wake(wakeAt);
+        }
+    }
+
+    void refresh(Nanos now) {
+        if (now >= askAt) {
+            host.subscribe();
+            askAt = kNever;
+        }
+        for (; now >= swapAt; swapAt += kGeneration)
+            for (Cache* c : fleet) c->filter.swap();
+        int out = 0;
+        int ready = 0;
+        for (Cache* c : fleet)
+            if (usable(*c, now)) {
+                ++ready;
+                out += c->out;
+            }
+        meanOut = ready ? static_cast<double>(out) / ready : 0;
+        if (now < paceAt) return;
+        paceAt = now + 250 * kMillisecond;
+        double warmSent = 0;
+        double warmSize = 0;
+        bool changed = false;
+        for (Cache* c : fleet) {
+            if (c->asideUntil && c->asideUntil <= now) {
+                c->asideUntil = 0;
+                changed = true;
+            }
+            if (c->presence != Presence::ready) continue;
+            if (warmth(*c, now) < 1) {
+                changed = true;
+            } else {
+                warmSent += c->sentLately.read(now);
+                warmSize += std::max(c->size, 1e-9);
+            }
+        }
+        // With no warm cache left, what they last took still tells what one of that size can take.
+        if (warmSize > 0) warmPace = warmSent / warmSize;
+        if (changed) ++fleetState;
+    }
+
+    void news(Nanos now, NewsKind kind, const std::vector<Listed>& entries) {
+        if (kind == NewsKind::failed) {
+            if (!terms.listOnRequest) return;
+            askAfter = std::min(2 * askAfter, std::max<Nanos>(terms.askWithin / 2, 1));
+            askAt = std::min(askAt, now + askAfter / 2 + spread(askAfter / 2));
+            return;
+        }
+        if (kind != NewsKind::cached) askAfter = kSecond / 2;
+        if (kind != NewsKind::changes)
+            for (const auto& [name, c] : known) c->presence = Presence::gone;
+        for (const Listed& e : entries) {
+            auto& slot = known[e.name];
+            if (!slot) {
+                slot = std::make_unique<Cache>(e.name, std::max<Nanos>(terms.fallSpan, 1));
+                slot->origin = terms.aside && e.shape == terms.originShape;
+                (slot->origin ? origins : fleet).push_back(slot.get());
+                if (e.cameUp > 0 && now - e.cameUp < terms.ramp) slot->window = 2;
+            } else if (e.cameUp > slot->cameUp) {
+                // Departure: a cache restarted under its old id has lost what its hints say it holds.
+                slot->filter.wipe();
+                slot->window = std::min(slot->window, 2.0);
+            }
+            slot->zone = e.zone;
+            slot->cell = e.cell;
+            slot->presence = e.presence;
+            slot->cameUp = e.cameUp;
+            slot->size = e.size;
+        }
+        ++fleetState;
+    }
+
+    void arrival(Nanos now, const Arrival& a) {
+        auto& made = commands[a.id];
+        if (made) return;
+        made = std::make_unique<Command>();
+        Command& cmd = *made;
+        cmd.id = a.id;
+        for (const Verb& v : terms.verbs)
+            if (v.name == a.verb) cmd.verb = &v;
+        if (!cmd.verb) cmd.verb = &unknownVerb;
+        for (const auto& u : usages)
+            if (u->customer->name == a.customer) cmd.usage = u.get();
+        cmd.keyed = !a.key.empty();
+        cmd.key = cmd.keyed ? hashOf(a.key) : mix(a.id);
+        cmd.write = a.write;
+        cmd.giveUpAt = a.giveUpAt;
+        cmd.goalAt = now + cmd.verb->goal;
+        cmd.beyondShare = beyondShare(cmd.usage, now);
+        waiting.push_back(&cmd);
+    }
+
+    void ended(Nanos now, const RelayEnd& end) {
+        const auto it = commands.find(end.id);
+        if (it == commands.end() || end.relay < 0) return;
+        Command& cmd = *it->second;
+        if (static_cast<std::size_t>(end.relay) >= cmd.relays.size()) return;
+        Relay& relay = cmd.relays[end.relay];
+        if (relay.standing != Standing::out) return;
+        relay.standing = end.ending >= Ending::noRoom ? Standing::neverRan : Standing::mayHaveRun;
+        Cache& from = *relay.to;
+        --from.out;
+        if (from.origin && cmd.atCold) --coldFetches;
+        if (end.ending == Ending::noneHere && warmth(from, now) < 1) cmd.atCold = true;
+        learn(from, cmd, end, now);
+        registerEnd(cmd, from, end.ending);
+        if (end.over || end.ending == Ending::answered) cmd.closed = true;
+        if (cmd.closed) {
+            commands.erase(it);
+            return;
+        }
+        if (end.ending != Ending::noneHere) cmd.failedBefore = true;
+        waiting.push_back(&cmd);
+    }
+
+    void left(CommandId id) {
+        const auto it = commands.find(id);
+        if (it == commands.end()) return;
+        Command& cmd = *it->second;
+        cmd.closed = true;
+        // With nothing out it is in `waiting`, and settle() drops it from there.
+    }
+
+    Terms terms;
+    Host& host;
+    std::mt19937 chance;
+    std::unordered_map<std::string, std::unique_ptr<Cache>> known;
+    std::vector<Cache*> fleet;  // in the order they were first heard of
+    std::vector<Cache*> origins;
+    std::vector<std::unique_ptr<Usage>> usages;
+    std::unordered_map<CommandId, std::unique_ptr<Command>> commands;
+    std::unordered_map<std::uint64_t, Command*> fetches;
+    std::vector<Command*> waiting;
+    Verb unknownVerb;
+    Decaying answers{kMemory};
+    Decaying answerTime{kMemory};
+    std::uint64_t fleetState = 1;
+    double meanOut = 0;
+    double warmPace = 0;  // relays in a span that a warm cache of size 1 takes from this router
+    int coldFetches = 0;
+    Nanos swapAt;
+    Nanos paceAt = 0;
+    Nanos askAt = kNever;
+    Nanos askAfter = kSecond / 2;
+    Nanos wakeAt = 0;
+};
+
+Router::Router(Terms terms, Host& host, Nanos now) : in_(std::make_unique<Inside>(std::move(terms), host, now)) {}
+Router::~Router() = default;
+void Router::news(Nanos now, NewsKind kind, const std::vector<Listed>& entries) { in_->news(now, kind, entries); }
+void Router::arrival(Nanos now, const Arrival& arrival) { in_->arrival(now, arrival); }
+void Router::ended(Nanos now, const RelayEnd& end) { in_->ended(now, end); }
+void Router::left(Nanos, CommandId id) { in_->left(id); }
+void Router::settle(Nanos now) { in_->settle(now); }
+
+}  // namespace poppyscale
--- /dev/null
+++ b/src/logic.hpp
@@ -0,0 +1,124 @@
+// The interface of the decisions: what a front tells them, and what they ask a front to do.
+// Nothing here knows of any wire, socket or clock; a front keeps its protocol to itself.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace poppyscale {
+
+using Nanos = std::int64_t;
+using CommandId = std::uint64_t;
+
+enum class Effect : std::uint8_t { pure, receipted, effectful };
+enum class Group : std::uint8_t { all, zone, cell };
+enum class Presence : std::uint8_t { gone, ready, draining };
+enum class NewsKind : std::uint8_t { changes, whole, cached, failed };
+// How a relay ended. Those after `undone` prove that the command never ran there.
+enum class Ending : std::uint8_t {
+    answered,
+    errored,
+    timedOut,
+    cut,
+    undone,
+    noRoom,
+    noRoute,
+    notSent,
+    noneHere
+};
+
+struct Verb {
+    std::string name;
+    Effect effect = Effect::effectful;
+    Group group = Group::all;  // where repeats of a receipted command are dropped
+    Nanos remembered = 0;      // and for how long after the first relay that may have run
+    Nanos goal = 0;
+    double utility = 1;
+};
+
+struct Customer {
+    std::string name;
+    double quotaPerSecond = 0;  // over all routers together
+};
+
+// What a deployment promises and allows, as far as the decisions read it.
+struct Terms {
+    std::uint64_t seed = 0;
+    int routers = 1;
+    bool aside = false;       // a cache that lacks a key says so, and the router asks the origin
+    std::string originShape;  // the machine shape that marks the origin in the list
+    bool listOnRequest = false;
+    bool comeBackAllowed = false;
+    int maxRelays = 1;
+    Nanos maxComeBack = 0;
+    Nanos askWithin = 0;
+    double startShare = 1;
+    Nanos ramp = 0;
+    double tipMultiple = 1;
+    Nanos fallSpan = 0;
+    std::vector<Verb> verbs;
+    std::vector<Customer> customers;
+};
+
+struct Listed {
+    std::string name;
+    std::string zone;
+    std::string shape;
+    Presence presence = Presence::ready;
+    Nanos cameUp = 0;
+    double size = 1;
+    std::int64_t cell = 0;
+};
+
+struct Arrival {
+    CommandId id = 0;
+    std::string_view verb;
+    std::string_view customer;
+    std::string_view key;
+    Nanos giveUpAt = 0;
+    bool write = false;
+};
+
+struct RelayEnd {
+    CommandId id = 0;
+    int relay = 0;
+    Ending ending = Ending::answered;
+    bool over = false;  // the client has its final answer, by this or by something earlier
+    Nanos spent = 0;
+};
+
+// What the decisions ask of whatever carries them out. Relays of a command count 0, 1, 2 ... as asked.
+class Host {
+  public:
+    virtual ~Host() = default;
+    virtual void relay(CommandId id, std::string_view cache, Nanos giveUpAt) = 0;
+    virtual void decline(CommandId id, Nanos comeBack) = 0;
+    virtual void terminate(CommandId id) = 0;
+    virtual void wake(Nanos at) = 0;
+    virtual void subscribe() = 0;
+    virtual void log(std::string_view text) = 0;
+};
+
+class Router {
+  public:
+    Router(Terms terms, Host& host, Nanos now);
+    ~Router();
+    Router(const Router&) = delete;
+    Router& operator=(const Router&) = delete;
+
+    void news(Nanos now, NewsKind kind, const std::vector<Listed>& entries);
+    void arrival(Nanos now, const Arrival& arrival);
+    void ended(Nanos now, const RelayEnd& end);
+    void left(Nanos now, CommandId id);
+    // Once after all events of a moment (a wake-up has no call of its own): emits what should change.
+    void settle(Nanos now);
+
+  private:
+    struct Inside;
+    std::unique_ptr<Inside> in_;
+};
+
+}  // namespace poppyscale
--- /dev/null
+++ b/src/wire/codec.cpp
@@ -0,0 +1,328 @@
+#include "wire/codec.hpp"
+
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <limits>
+#include <unordered_map>
+
+namespace poppyscale::wire {
+namespace {
+
+constexpr std::int64_t kNanosPerMicro = 1000;
+
+template <class T, std::size_t N>
+const T* lookUp(const std::array<std::pair<std::string_view, T>, N>& words, std::string_view word) {
+    for (const auto& [name, value] : words)
+        if (name == word) return &value;
+    return nullptr;
+}
+
+constexpr std::array<std::pair<std::string_view, Kind>, 10> kKinds{{{"MARK", Kind::mark},
+                                                                    {"OVER_TO_YOU", Kind::turn},
+                                                                    {"CONFIGURE", Kind::configure},
+                                                                    {"TABLE", Kind::table},
+                                                                    {"ANNOUNCE", Kind::announce},
+                                                                    {"ACCEPT", Kind::accept},
+                                                                    {"ABORTED", Kind::aborted},
+                                                                    {"VERDICT", Kind::verdict},
+                                                                    {"REMINDER", Kind::reminder},
+                                                                    {"STOP", Kind::stop}}};
+// Events that the decisions have no use for; anything else that is unknown is an error.
+constexpr std::array<std::string_view, 4> kIgnored{"OPENED", "NOTE_FROM", "CHECK_RESULT", "ENTRY"};
+
+constexpr std::array<std::pair<std::string_view, Ending>, 9> kEndings{{{"pass", Ending::answered},
+                                                                       {"fault", Ending::errored},
+                                                                       {"no_room", Ending::noRoom},
+                                                                       {"too_slow", Ending::timedOut},
+                                                                       {"no_route", Ending::noRoute},
+                                                                       {"cut", Ending::cut},
+                                                                       {"undone", Ending::undone},
+                                                                       {"stale_send", Ending::notSent},
+                                                                       {"none_here", Ending::noneHere}}};
+constexpr std::array<std::pair<std::string_view, Effect>, 3> kEffects{
+    {{"free", Effect::pure}, {"guarded", Effect::receipted}, {"single_shot", Effect::effectful}}};
+constexpr std::array<std::pair<std::string_view, Group>, 3> kGroups{
+    {{"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}}};
+
+template <class T>
+std::optional<T> parse(std::string_view value) {
+    T result{};
+    const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), result);
+    if (error != std::errc{} || end != value.data() + value.size()) return std::nullopt;
+    return result;
+}
+
+std::optional<double> parseReal(std::string_view value) {
+    const auto real = parse<double>(value);
+    return real && std::isfinite(*real) ? real : std::nullopt;
+}
+
+// The settings of one CONFIGURE, looked up by path.
+class Paths {
+  public:
+    explicit Paths(const Line& line) : line_(line) {
+        for (const auto& [path, value] : line.parts()) values_.emplace(path, value);
+    }
+    std::string_view text(const std::string& path) const {
+        const auto it = values_.find(path);
+        if (it == values_.end()) throw Malformed("CONFIGURE: missing setting " + path);
+        return it->second;
+    }
+    double real(const std::string& path) const {
+        if (const auto value = parseReal(text(path))) return *value;
+        throw Malformed("CONFIGURE: setting " + path + " is not a number");
+    }
+    std::int64_t whole(const std::string& path, std::int64_t most) const {
+        const auto value = parse<std::int64_t>(text(path));
+        if (value && *value >= 0 && *value <= most) return *value;
+        throw Malformed("CONFIGURE: setting " + path + " is not a whole number in its range");
+    }
+    bool has(const std::string& path) const { return values_.contains(path); }
+    Nanos time(const std::string& path) const {
+        return whole(path, std::numeric_limits<std::int64_t>::max() / kNanosPerMicro) * kNanosPerMicro;
+    }
+    bool yes(const std::string& path) const {
+        const auto value = text(path);
+        if (value == "true" || value == "1") return true;
+        if (value == "false" || value == "0") return false;
+        throw Malformed("CONFIGURE: setting " + path + " is neither true nor false");
+    }
+    template <class T, std::size_t N>
+    T word(const std::array<std::pair<std::string_view, T>, N>& words, const std::string& path) const {
+        if (const T* value = lookUp(words, text(path))) return *value;
+        throw Malformed("CONFIGURE: setting " + path + " has an unknown value");
+    }
+
+  private:
+    const Line& line_;
+    std::unordered_map<std::string_view, std::string_view> values_;
+};
+
+std::string_view item(std::string_view list, std::int64_t index) {
+    for (; index > 0; --index) {
+        const auto comma = list.find(',');
+        if (comma == std::string_view::npos) return {};
+        list.remove_prefix(comma + 1);
+    }
+    return list.substr(0, list.find(','));
+}
+
+}  // namespace
+
+void Line::split(std::string_view text) {
+    parts_.clear();
+    word_ = text.substr(0, text.find('\t'));
+    if (const Kind* kind = lookUp(kKinds, word_)) {
+        kind_ = *kind;
+    } else {
+        kind_ = Kind::other;
+        bool known = false;
+        for (const auto ignored : kIgnored) known = known || ignored == word_;
+        if (!known) throw Malformed("unknown message '" + std::string(word_.substr(0, 40)) + "'");
+    }
+    while (word_.size() < text.size()) {
+        text.remove_prefix(text.find('\t') + 1);
+        const auto part = text.substr(0, text.find('\t'));
+        const auto equals = part.find('=');
+        if (equals == std::string_view::npos)
+            fail("has a part without '='", part.substr(0, 40));
+        parts_.emplace_back(part.substr(0, equals), part.substr(equals + 1));
+        if (part.size() == text.size()) break;
+    }
+}
+
+void Line::fail(std::string_view what, std::string_view name) const {
+    throw Malformed(std::string(word_) + " " + std::string(what) + ": " + std::string(name));
+}
+
+std::optional<std::string_view> Line::find(std::string_view name) const {
+    for (const auto& [key, value] : parts_)
+        if (key == name) return value;
+    return std::nullopt;
+}
+
+std::string_view Line::text(std::string_view name) const {
+    const auto value = find(name);
+    if (!value) fail("lacks a field", name);
+    return *value;
+}
+
+std::int64_t Line::number(std::string_view name, std::string_view value) const {
+    const auto result = parse<std::int64_t>(value);
+    if (!result) fail("has a field that is not a whole number", name);
+    return *result;
+}
+
+std::int64_t Line::whole(std::string_view name) const { return number(name, text(name)); }
+
+std::int64_t Line::whole(std::string_view name, std::int64_t otherwise) const {
+    const auto value = find(name);
+    return value ? number(name, *value) : otherwise;
+}
+
+Nanos Line::toNanos(std::int64_t micros, std::string_view name) const {
+    constexpr auto most = std::numeric_limits<std::int64_t>::max() / kNanosPerMicro / 4;
+    if (micros > most || micros < -most) fail("has a time out of range", name);
+    return micros * kNanosPerMicro;
+}
+
+CommandId Line::command() const {
+    const auto ref = text("ref");
+    CommandId id = 0;
+    const auto [end, error] = std::from_chars(ref.data(), ref.data() + ref.size(), id, 16);
+    if (ref.size() != 16 || error != std::errc{} || end != ref.data() + ref.size())
+        fail("has a field that is not 16 hex digits", "ref");
+    return id;
+}
+
+Terms readTerms(const Line& configure) {
+    const Paths paths(configure);
+    Terms terms;
+    const auto seed = parse<std::uint64_t>(configure.text("seed"));
+    if (!seed) throw Malformed("CONFIGURE has a field that is not a whole number: seed");
+    terms.seed = *seed;
+    terms.routers = static_cast<int>(paths.whole("replicasOfMe", 1'000'000));
+    if (terms.routers == 0) throw Malformed("CONFIGURE: setting replicasOfMe is 0");
+    terms.aside = paths.text("familyInfo.mode") == "aside";
+    if (terms.aside) {
+        const auto shape = paths.whole("familyInfo.originKind", 1'000'000);
+        terms.originShape = item(paths.text("shapes"), shape);
+    }
+    terms.listOnRequest = paths.text("membershipMode") == "on_request";
+    if (terms.listOnRequest) terms.askWithin = paths.time("rules.askWithinUs");
+    terms.comeBackAllowed = paths.yes("allowed.retryAfter");
+    if (terms.comeBackAllowed) terms.maxComeBack = paths.time("allowed.maxRetryAfterUs");
+    terms.maxRelays = static_cast<int>(paths.whole("allowed.maxRelays", 1'000'000));
+    terms.startShare = paths.real("rules.startCapacity");
+    terms.ramp = paths.time("rules.rampTimeUs");
+    terms.tipMultiple = paths.real("rules.tipMultiple");
+    terms.fallSpan = paths.time("rules.fallUs");
+    const auto verbs = paths.whole("verbs.count", 10'000);
+    for (std::int64_t i = 0; i < verbs; ++i) {
+        const std::string at = "verbs." + std::to_string(i) + ".";
+        Verb verb;
+        verb.name = paths.text(at + "name");
+        verb.effect = paths.word(kEffects, at + "effect");
+        if (verb.effect == Effect::receipted) {
+            verb.group = paths.word(kGroups, at + "group");
+            verb.remembered = paths.time(at + "keyTtlUs");
+        }
+        verb.goal = paths.time(at + "responseGoalUs");
+        verb.utility = paths.real(at + "utility");
+        terms.verbs.push_back(std::move(verb));
+    }
+    const auto customers = paths.has("orgs.count") ? paths.whole("orgs.count", 10'000) : 0;
+    for (std::int64_t i = 0; i < customers; ++i) {
+        const std::string at = "orgs." + std::to_string(i) + ".";
+        terms.customers.push_back({std::string(paths.text(at + "name")), paths.real(at + "quotaPerS")});
+    }
+    return terms;
+}
+
+Listed readEntry(const Line& entry) {
+    Listed listed;
+    listed.name = entry.text("server");
+    const auto presence = entry.whole("availability");
+    if (presence < 0 || presence > 2) throw Malformed("ENTRY has an unknown availability");
+    listed.presence = presence == 0 ? Presence::gone : presence == 1 ? Presence::ready : Presence::draining;
+    listed.zone = entry.find("dc").value_or("");
+    listed.shape = entry.find("hw").value_or("");
+    listed.cell = entry.whole("pod", 0);
+    listed.cameUp = entry.toNanos(entry.whole("cameUpUs", 0), "cameUpUs");
+    if (const auto size = entry.find("heft")) {
+        const auto real = parseReal(*size);
+        if (!real || *real < 0) throw Malformed("ENTRY has a field that is not a size: heft");
+        listed.size = *real;
+    }
+    return listed;
+}
+
+NewsKind readNewsKind(const Line& announce) {
+    constexpr std::array kinds{NewsKind::changes, NewsKind::cached, NewsKind::whole, NewsKind::failed};
+    const auto kind = announce.whole("kind");
+    if (kind < 0 || kind >= static_cast<std::int64_t>(kinds.size())) throw Malformed("ANNOUNCE has an unknown kind");
+    return kinds[kind];
+}
+
+Arrival readArrival(const Line& accept) {
+    Arrival arrival;
+    arrival.id = accept.command();
+    arrival.verb = accept.text("profile");
+    arrival.customer = accept.find("customer").value_or("");
+    arrival.key = accept.find("affinity").value_or("");
+    arrival.giveUpAt = accept.time("notAfterUs");
+    arrival.write = (accept.whole("bits", 0) & 4) != 0;
+    return arrival;
+}
+
+RelayEnd readRelayEnd(const Line& verdict) {
+    RelayEnd end;
+    end.id = verdict.command();
+    const Ending* ending = lookUp(kEndings, verdict.text("verdict"));
+    if (!ending) throw Malformed("VERDICT has an unknown verdict");
+    end.ending = *ending;
+    const auto trial = verdict.whole("trial", 0);
+    if (trial < 0 || trial > 1'000'000) throw Malformed("VERDICT has a field out of range: trial");
+    end.relay = static_cast<int>(trial);
+    end.over = verdict.whole("over", 0) != 0;
+    end.spent = verdict.toNanos(verdict.whole("spentUs", 0), "spentUs");
+    return end;
+}
+
+void Writer::begin(std::string_view action) {
+    reply_.append(action).append("\twho=").append(who_);
+}
+
+void Writer::command(CommandId id) {
+    constexpr std::string_view digits = "0123456789abcdef";
+    reply_.append("\tref=");
+    for (int shift = 60; shift >= 0; shift -= 4) reply_.push_back(digits[(id >> shift) & 15]);
+}
+
+void Writer::count(std::string_view name, std::int64_t value) {
+    std::array<char, 24> text;
+    const auto end = std::to_chars(text.data(), text.data() + text.size(), value).ptr;
+    reply_.append("\t").append(name).append("=").append(text.data(), end);
+}
+
+void Writer::relay(CommandId id, std::string_view cache, Nanos giveUpAt) {
+    begin("HAND_OFF");
+    command(id);
+    reply_.append("\tserver=").append(cache);
+    count("notPastUs", giveUpAt / kNanosPerMicro);
+    reply_.push_back('\n');
+}
+
+void Writer::decline(CommandId id, Nanos comeBack) {
+    begin("OVERLOAD_REPLY");
+    command(id);
+    if (comeBack > 0) count("coolDownUs", comeBack / kNanosPerMicro);
+    reply_.push_back('\n');
+}
+
+void Writer::terminate(CommandId id) {
+    begin("END_FAILED");
+    command(id);
+    reply_.push_back('\n');
+}
+
+void Writer::wake(Nanos at) {
+    begin("WAKE_AT");
+    // Rounded up: a wake-up just before its moment would find nothing due.
+    count("fireAtUs", (at + kNanosPerMicro - 1) / kNanosPerMicro);
+    count("tag", 0);
+    reply_.push_back('\n');
+}
+
+void Writer::subscribe() {
+    begin("OBSERVE");
+    reply_.append("\ton=1\n");
+}
+
+void Writer::log(std::string_view text) {
+    begin("EMIT");
+    reply_.append("\tmessage=").append(text).push_back('\n');
+}
+
+}  // namespace poppyscale::wire
--- /dev/null
+++ b/tests/logic_test.cpp
@@ -0,0 +1,209 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "fake_host.hpp"
+
+using namespace poppyscale;
+using namespace poppyscale::test;
+
+TEST_CASE("no command is lost: what can't be placed by its goal is declined, once") {
+    World w(false, 0);
+    CHECK(w.ask(1) == "declined");
+    CHECK(w.finals(1) == 1);
+    World late;
+    late.router.arrival(late.now, {2, "read", "", "k", late.now, false});
+    late.router.settle(late.now);
+    CHECK(late.finals(2) == 1);
+}
+
+TEST_CASE("no command is lost: a time-out at the time limit is followed by a final answer") {
+    World w;
+    w.ask(1);
+    w.now += 2'000 * ms;
+    CHECK(w.end(1, 0, Ending::timedOut, false, 2'000 * ms) == "declined");
+    CHECK(w.finals(1) == 1);
+    CHECK(w.end(1, 0, Ending::timedOut) == "");
+}
+
+TEST_CASE("an effectful command that may have run is terminated, never relayed again or declined") {
+    for (const Ending e : {Ending::errored, Ending::timedOut, Ending::cut, Ending::undone}) {
+        World w;
+        w.ask(1, "k", "pay");
+        CHECK(w.end(1, 0, e) == "terminated");
+    }
+    World w;
+    const std::string first = w.ask(1, "k", "pay");
+    const std::string second = w.end(1, 0, Ending::noRoute);
+    CHECK(second != "");
+    CHECK(second != first);
+}
+
+TEST_CASE("a receipted command that may have run goes on only inside its group and while it is remembered") {
+    World w;
+    w.ask(1, "k", "mark");
+    CHECK(w.end(1, 0, Ending::cut).size() == 1);
+    w.now += 2'001 * ms;
+    w.ask(2, "k", "mark");
+    w.now += 2'000 * ms;
+    CHECK(w.end(2, 0, Ending::cut) == "terminated");
+    World apart;
+    for (std::size_t i = 0; i < apart.list.size(); ++i) apart.list[i].zone = std::to_string(i);
+    apart.router.news(0, NewsKind::whole, apart.list);
+    apart.ask(3, "k", "mark");
+    CHECK(apart.end(3, 0, Ending::cut) == "terminated");
+}
+
+TEST_CASE("drains are kept: at the news of a drain or a shorter whole list nothing more is sent there") {
+    World w;
+    const std::string home = w.ask(1);
+    w.end(1, 0, Ending::answered);
+    Listed drained{home, "z", "m", Presence::draining};
+    w.router.news(w.now, NewsKind::changes, {drained});
+    CHECK(w.ask(2) != home);
+    w.router.news(w.now, NewsKind::whole, {{home, "z", "m"}});
+    CHECK(w.ask(3) == home);
+}
+
+TEST_CASE("a cold cache is sent no more than its budget while its like are warm") {
+    World w(false, 2);
+    CommandId id = 0;
+    w.list[1].presence = Presence::gone;
+    w.router.news(w.now, NewsKind::changes, {w.list[1]});
+    for (int i = 0; i < 400; ++i, w.now += 10 * ms) w.serve(++id, std::to_string(i));
+    w.list[1].cameUp = w.now;
+    w.list[1].presence = Presence::ready;
+    w.router.news(w.now, NewsKind::changes, {w.list[1]});
+    w.list[0].presence = Presence::draining;
+    w.router.news(w.now, NewsKind::changes, {w.list[0]});
+    int sent = 0;
+    for (int i = 0; i < 100; ++i, w.now += 10 * ms) {
+        auto seen = w.host.told.size();
+        w.ask(++id, std::to_string(i));
+        for (; seen < w.host.told.size(); ++seen)
+            if (const Told t = w.host.told[seen]; t.what == 'r' && ++sent) w.end(t.id, 0, Ending::answered);
+    }
+    // Its warm fellow took 100 in such a second; the rule allows 3 x 0.2 to 0.28 of that, the ramp rising.
+    CHECK(sent > 5);
+    CHECK(sent < 75);
+}
+
+TEST_CASE("aside: a miss goes to the origin, whose answer registers the key where it missed") {
+    World w(true);
+    const std::string home = w.ask(1);
+    CHECK(w.end(1, 0, Ending::noneHere) == "origin");
+    w.end(1, 1, Ending::answered);
+    CHECK(w.ask(2) == home);
+}
+
+TEST_CASE("one fetch for a key is out, and what asks for it meanwhile is held and then served by the cache") {
+    World w(true);
+    const std::string home = w.ask(1);
+    CHECK(w.end(1, 0, Ending::noneHere) == "origin");
+    CHECK(w.ask(2) == "");
+    CHECK(w.end(1, 1, Ending::answered) == home);
+}
+
+TEST_CASE("aside: a miss without an answer of the origin leaves the key unregistered") {
+    World w(true);
+    w.ask(1);
+    w.end(1, 0, Ending::noneHere);
+    CHECK(w.end(1, 1, Ending::errored) == "origin");
+    CHECK(w.end(1, 2, Ending::errored) == "declined");
+    w.ask(2);
+    CHECK(w.end(2, 0, Ending::noneHere) == "origin");
+}
+
+TEST_CASE("the hinted candidate wins over rendezvous order, until a reset wipes its hints or a write clears") {
+    for (const bool write : {false, true}) {
+        World w(write);
+        const std::string home = w.ask(1);
+        Listed drained{home, "z", "m", Presence::draining};
+        w.router.news(w.now, NewsKind::changes, {drained});
+        const std::string other = w.ask(2);
+        CHECK(other != home);
+        w.end(2, 0, Ending::answered);
+        w.router.news(w.now, NewsKind::changes, {{home, "z", "m"}});
+        CHECK(w.ask(3) == other);
+        w.end(3, 0, Ending::answered);
+        if (write) {
+            CHECK(w.ask(4, "k", "pay", true) == "origin");
+        } else {
+            w.ask(5, "k", "pay");
+            w.end(5, 0, Ending::cut);
+        }
+        CHECK(w.ask(6) == home);
+    }
+}
+
+TEST_CASE("hints last one generation beyond the one they were registered in") {
+    World w;
+    const std::string home = w.ask(1);
+    w.router.news(w.now, NewsKind::changes, {{home, "z", "m", Presence::draining}});
+    const std::string other = w.serve(2, "k");
+    w.router.news(w.now, NewsKind::changes, {{home, "z", "m"}});
+    w.now = 15'000 * ms;
+    w.router.settle(w.now);
+    w.now = 25'000 * ms;
+    CHECK(w.ask(3) == home);
+    CHECK(other != home);
+}
+
+TEST_CASE("a candidate at twice the mean in flight yields to the other") {
+    World w;
+    const std::string home = w.serve(1, "k");
+    CHECK(w.ask(2) == home);
+    CHECK(w.ask(3) == home);
+    CHECK(w.ask(4) != home);
+}
+
+TEST_CASE("a cache that fails against the fleet's median is set aside, but not when most fail") {
+    World w;
+    CommandId id = 100;
+    for (int i = 0; i < 40; ++i) w.serve(++id, std::to_string(i));
+    const std::string home = w.ask(1);
+    CHECK(w.end(1, 0, Ending::errored) != home);
+    for (CommandId i = 2; i < 8; ++i)
+        if (w.ask(i) == home) w.end(i, 0, Ending::errored);
+    CHECK(w.ask(50) != home);
+    CHECK(w.host.logs.size() == 1);
+}
+
+TEST_CASE("further relays end when the caches have no credit left") {
+    World w(false, 3);
+    int relays = 0;
+    for (CommandId id = 1; id <= 60; ++id) {
+        w.ask(id, std::to_string(id));
+        for (int r = 0; r < 3; ++r) w.end(id, r, Ending::errored);
+    }
+    for (const Told& t : w.host.told) relays += t.what == 'r';
+    CHECK(relays <= 60 + 3 * 2);
+}
+
+TEST_CASE("the list is asked for where it must be, once, and again after a failure") {
+    Terms t = smallTerms(false);
+    t.listOnRequest = true;
+    t.askWithin = 8'000 * ms;
+    World w(t, 2);
+    for (; w.now < 2'000 * ms; w.now += 100 * ms) w.router.settle(w.now);
+    CHECK(w.host.subscriptions == 1);
+    w.router.news(w.now, NewsKind::failed, {});
+    for (; w.now < 6'000 * ms; w.now += 100 * ms) w.router.settle(w.now);
+    CHECK(w.host.subscriptions == 2);
+    CHECK(w.ask(1) != "");
+}
+
+TEST_CASE("under pressure customers within their share go first") {
+    Terms t = smallTerms(false);
+    t.customers = {{"greedy", 10}, {"modest", 10}};
+    World w(t, 2);
+    CommandId id = 0;
+    for (int i = 0; i < 60; ++i, w.now += 5 * ms) {
+        w.ask(++id, std::to_string(i), "read", false, "greedy");
+        w.end(id, 0, Ending::answered);
+    }
+    std::string last;
+    for (int i = 0; i < 60 && last != "declined"; ++i)
+        last = w.ask(++id, std::to_string(i), "read", false, "greedy");
+    CHECK(last == "declined");
+    CHECK(w.ask(++id, "m", "read", false, "modest") == "");
+}
--- /dev/null
+++ b/tests/wire_test.cpp
@@ -0,0 +1,50 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "wire/codec.hpp"
+
+using namespace poppyscale;
+using namespace poppyscale::wire;
+
+namespace {
+Line lineOf(std::string_view text) {
+    Line line;
+    line.split(text);
+    return line;
+}
+}  // namespace
+
+TEST_CASE("malformed lines are named, not survived by luck") {
+    CHECK_THROWS_AS(lineOf("HELLO\twho=1"), Malformed);
+    CHECK_THROWS_AS(lineOf("VERDICT\twho"), Malformed);
+    CHECK_THROWS_AS(readArrival(lineOf("ACCEPT\tref=12\tprofile=p\tnotAfterUs=1")), Malformed);
+    CHECK_THROWS_AS(readArrival(lineOf("ACCEPT\tref=0123456789abcdef\tprofile=p")), Malformed);
+    CHECK_THROWS_AS(readArrival(lineOf("ACCEPT\tref=0123456789abcdef\tprofile=p\tnotAfterUs=9223372036854775807")),
+                    Malformed);
+    CHECK_THROWS_AS(readRelayEnd(lineOf("VERDICT\tref=0123456789abcdef\tverdict=well")), Malformed);
+    CHECK_THROWS_AS(readEntry(lineOf("ENTRY\tserver=a\tavailability=7")), Malformed);
+    CHECK_THROWS_AS(readEntry(lineOf("ENTRY\tserver=a\tavailability=1\theft=nan")), Malformed);
+    CHECK_THROWS_WITH_AS(readTerms(lineOf("CONFIGURE\twho=1\tseed=1\tmembershipMode=pushed")),
+                         "CONFIGURE: missing setting replicasOfMe", Malformed);
+}
+
+TEST_CASE("unknown fields are ignored and bits are read as bits") {
+    const Line line = lineOf("ACCEPT\twho=3\tnew=x\tref=00000000000000ff\tprofile=p\tnotAfterUs=7\tbits=5");
+    const Arrival arrival = readArrival(line);
+    CHECK(arrival.id == 255);
+    CHECK(arrival.write);
+    CHECK(arrival.giveUpAt == 7000);
+}
+
+TEST_CASE("actions are written as the wire has them") {
+    std::string reply;
+    Writer writer(reply, 3);
+    writer.relay(255, "10.0.0.1:9000", 5000);
+    writer.decline(1, 0);
+    writer.wake(1001);
+    CHECK(reply ==
+          "HAND_OFF\twho=3\tref=00000000000000ff\tserver=10.0.0.1:9000\tnotPastUs=5\n"
+          "OVERLOAD_REPLY\twho=3\tref=0000000000000001\n"
+          "WAKE_AT\twho=3\tfireAtUs=2\ttag=0\n");
+}
