--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -29,6 +29,7 @@
 constexpr double kYieldFloor = 2;
 
 constexpr Nanos kMemory = 5 * kSecond;             // over which a cache's endings are weighed
+constexpr double kLatenessWanted = 0.5;            // of the goal: spread about the mean needs the other half
 constexpr Nanos kShareMemory = 2 * kSecond;        // over which a customer's use is weighed
 
 std::uint64_t mix(std::uint64_t x) {
@@ -135,6 +136,7 @@
     double window = 4;          // relays it may have out; learnt from how its answers fare against the goals
     double lateness = 0;        // running mean of an answer's time as a part of its goal
     Nanos windowCutAt = 0;
+    Nanos nextAt = 0;           // with a window under one: when the next relay may go out
     double credit = 2;          // further relays it may take; its answers earn them
     Decaying endings{kMemory};
     Decaying failures{kMemory};
@@ -254,7 +256,7 @@
     }
 
     bool room(const Command& cmd, Cache& c, Nanos now) {
-        if (c.out >= static_cast<int>(c.window) || !legal(cmd, &c, now)) return false;
+        if (c.out >= std::max(1.0, std::floor(c.window)) || now < c.nextAt || !legal(cmd, &c, now)) return false;
         if (c.trialsLeft > 0 && cmd.verb->effect != Effect::pure) return false;
         if (cmd.failedBefore && c.credit < 1) return false;
         for (const Relay& r : cmd.relays)
@@ -364,23 +366,32 @@
     void cutWindow(Cache& c, Nanos now, Nanos spent, double factor) {
         // Once a round trip: all that was out together tells of one and the same jam.
         if (now - c.windowCutAt < spent) return;
-        c.window = std::max(1.0, c.window * factor);
+        c.window = std::max(0.05, c.window * factor);
         c.windowCutAt = now;
     }
 
-    void learnAnswer(Cache& c, const Command& cmd, Nanos now, Nanos spent) {
+    // How answers fare against the goals, time-outs among them: else a jam in which nothing is answered at all
+    // would go unseen by the window.
+    void learnTime(Cache& c, const Command& cmd, Nanos now, Nanos spent) {
         const double part = static_cast<double>(spent) / static_cast<double>(std::max<Nanos>(cmd.verb->goal, 1));
-        c.lateness += (part - c.lateness) / 16;
-        if (c.lateness > 0.5)
+        c.lateness += (std::min(part, 2.0) - c.lateness) / 16;
+        if (c.lateness > kLatenessWanted)
             cutWindow(c, now, spent, 0.85);
         else if (c.out + 1 >= c.window * 0.75)
-            c.window += c.windowCutAt == 0 ? 0.5 : 1 / c.window;
+            c.window += c.windowCutAt == 0 ? 0.5 : 0.5 / std::max(c.window, 2.0);
+        // With many routers even one relay each is too much: a window under one is kept by waiting between.
+        c.nextAt = c.window < 1 ? now + static_cast<Nanos>(spent * (1 / c.window - 1)) : 0;
+    }
+
+    void learnAnswer(Cache& c, const Command& cmd, Nanos now, Nanos spent) {
+        const bool late = spent > cmd.verb->goal;
+        learnTime(c, cmd, now, spent);
         c.credit = std::min(c.credit + 0.2, 10.0);
         answers.add(now, 1);
         answerTime.add(now, static_cast<double>(spent));
         c.endings.add(now, 1);
-        c.failures.add(now, part > 1 ? 0.5 : 0);
-        if (part > 1) return judge(c, now);
+        c.failures.add(now, late ? 0.5 : 0);
+        if (late) return judge(c, now);
         if (c.trialsLeft > 0 && --c.trialsLeft == 0) c.asideFor = kSecond;
     }
 
@@ -394,7 +405,7 @@
             case Ending::timedOut:
                 // Sent with hardly any time left, it proves nothing of the cache.
                 if (end.spent < 2 * typical(now)) return;
-                cutWindow(c, now, end.spent, 0.7);
+                learnTime(c, cmd, now, end.spent);
                 break;
             case Ending::noRoute:
             case Ending::cut:
