Lateness as a running median: heavy commands no longer cut windows

Cause: a mean moves with a few heavy commands; a queue moves all answers, so the median tells the two apart.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -29,7 +29,7 @@
 constexpr double kYieldFloor = 2;
 
 constexpr Nanos kMemory = 5 * kSecond;             // over which a cache's endings are weighed
-constexpr double kLatenessWanted = 0.5;            // of the goal: spread about the mean needs the other half
+constexpr double kLatenessWanted = 0.4;            // of the goal: the spread about the median needs the rest
 constexpr Nanos kShareMemory = 2 * kSecond;        // over which a customer's use is weighed
 
 std::uint64_t mix(std::uint64_t x) {
@@ -134,7 +134,7 @@
     Filter filter;
     int out = 0;
     double window = 4;          // relays it may have out; learnt from how its answers fare against the goals
-    double lateness = 0;        // running mean of an answer's time as a part of its goal
+    double lateness = 0.1;      // running median of an answer's time as a part of its goal
     Nanos windowCutAt = 0;
     Nanos nextAt = 0;           // with a window under one: when the next relay may go out
     double credit = 2;          // further relays it may take; its answers earn them
@@ -374,7 +374,9 @@
     // would go unseen by the window.
     void learnTime(Cache& c, const Command& cmd, Nanos now, Nanos spent) {
         const double part = static_cast<double>(spent) / static_cast<double>(std::max<Nanos>(cmd.verb->goal, 1));
-        c.lateness += (std::min(part, 2.0) - c.lateness) / 16;
+        // Steps towards the median: a few suddenly heavy commands would move a mean and cut windows where
+        // nothing queues, while a queue delays all that is answered.
+        c.lateness = std::max(0.01, c.lateness * (part > c.lateness ? 1.1 : 0.9));
         if (c.lateness > kLatenessWanted)
             cutWindow(c, now, spent, 0.85);
         else if (c.out + 1 >= c.window * 0.75)
