--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -30,6 +30,7 @@
 
 constexpr Nanos kMemory = 5 * kSecond;             // over which a cache's endings are weighed
 constexpr double kLatenessWanted = 0.4;            // of the goal: the spread about the median needs the rest
+constexpr double kLatenessMost = 0.7;              // and no more than this, however slow a cache is when idle
 constexpr Nanos kShareMemory = 2 * kSecond;        // over which a customer's use is weighed
 
 std::uint64_t mix(std::uint64_t x) {
@@ -134,7 +135,8 @@
     Filter filter;
     int out = 0;
     double window = 4;          // relays it may have out; learnt from how its answers fare against the goals
-    double lateness = 0.1;      // running median of an answer's time as a part of its goal
+    double lateness = 0;        // running median of an answer's time as a part of its goal
+    double idle = 1;            // the least that median has been, forgotten slowly
     Nanos windowCutAt = 0;
     Nanos nextAt = 0;           // with a window under one: when the next relay may go out
     double credit = 2;          // further relays it may take; its answers earn them
@@ -376,8 +378,10 @@
         const double part = static_cast<double>(spent) / static_cast<double>(std::max<Nanos>(cmd.verb->goal, 1));
         // Steps towards the median: a few suddenly heavy commands would move a mean and cut windows where
         // nothing queues, while a queue delays all that is answered.
-        c.lateness = std::max(0.01, c.lateness * (part > c.lateness ? 1.1 : 0.9));
-        if (c.lateness > kLatenessWanted)
+        c.lateness = c.lateness == 0 ? part : std::max(0.01, c.lateness * (part > c.lateness ? 1.1 : 0.9));
+        // A slow machine may need most of the goal when idle: only what lies well over that is a queue.
+        c.idle = std::min(c.idle * 1.002, c.lateness);
+        if (c.lateness > std::clamp(2 * c.idle, kLatenessWanted, kLatenessMost))
             cutWindow(c, now, spent, 0.85);
         else if (c.out + 1 >= c.window * 0.75)
             c.window += c.windowCutAt == 0 ? 0.5 : 0.5 / std::max(c.window, 2.0);
