--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -120,6 +120,40 @@
     Generation previous_{kLeastCounters};
 };
 
+// How many relays may be out, learnt from how answers fare against their goals.
+struct Window {
+    bool open(Nanos now) const { return out < std::max(1.0, std::floor(size)) && now >= nextAt; }
+
+    void cut(Nanos now, Nanos spent, double factor) {
+        // Once a round trip: all that was out together tells of one and the same jam.
+        if (now - cutAt < spent) return;
+        size = std::max(0.05, size * factor);
+        cutAt = now;
+    }
+
+    void learn(Nanos now, Nanos spent, Nanos goal) {
+        const double part = static_cast<double>(spent) / static_cast<double>(std::max<Nanos>(goal, 1));
+        // Steps towards the median: a few suddenly heavy commands would move a mean and cut windows where
+        // nothing queues, while a queue delays all that is answered.
+        lateness = lateness == 0 ? part : std::max(0.01, lateness * (part > lateness ? 1.1 : 0.9));
+        // A slow machine may need most of the goal when idle: only what lies well over that is a queue.
+        idle = std::min(idle * 1.002, lateness);
+        if (lateness > std::clamp(2 * idle, kLatenessWanted, kLatenessMost))
+            cut(now, spent, 0.85);
+        else if (out + 1 >= size * 0.75)
+            size += cutAt == 0 ? 0.5 : 0.5 / std::max(size, 2.0);
+        // With many routers even one relay each is too much: a size under one is kept by waiting between.
+        nextAt = size < 1 ? now + static_cast<Nanos>(spent * (1 / size - 1)) : 0;
+    }
+
+    double size = 4;
+    double lateness = 0;  // running median of an answer's time as a part of its goal
+    double idle = 1;      // the least that median has been, forgotten slowly
+    int out = 0;
+    Nanos cutAt = 0;
+    Nanos nextAt = 0;
+};
+
 struct Cache {
     Cache(const std::string& name, Nanos fallSpan) : name(name), hash(hashOf(name)), sentLately(fallSpan) {}
 
@@ -133,12 +167,7 @@
     bool origin = false;
 
     Filter filter;
-    int out = 0;
-    double window = 4;          // relays it may have out; learnt from how its answers fare against the goals
-    double lateness = 0;        // running median of an answer's time as a part of its goal
-    double idle = 1;            // the least that median has been, forgotten slowly
-    Nanos windowCutAt = 0;
-    Nanos nextAt = 0;           // with a window under one: when the next relay may go out
+    Window window;
     double credit = 2;          // further relays it may take; its answers earn them
     Decaying endings{kMemory};
     Decaying failures{kMemory};
@@ -258,7 +287,7 @@
     }
 
     bool room(const Command& cmd, Cache& c, Nanos now) {
-        if (c.out >= std::max(1.0, std::floor(c.window)) || now < c.nextAt || !legal(cmd, &c, now)) return false;
+        if (!c.window.open(now) || !(c.origin || whole.open(now)) || !legal(cmd, &c, now)) return false;
         if (c.trialsLeft > 0 && cmd.verb->effect != Effect::pure) return false;
         if (cmd.failedBefore && c.credit < 1) return false;
         for (const Relay& r : cmd.relays)
@@ -275,12 +304,12 @@
             for (std::size_t i = 0; i < std::min(candidates.size(), kCandidates); ++i) {
                 Cache* c = candidates[i];
                 if (c->filter.holds(cmd.key) != hinted || !room(cmd, *c, now)) continue;
-                if (c->out < busy) return c;
+                if (c->window.out < busy) return c;
                 if (!yielding) yielding = c;
             }
         if (candidates.size() > kCandidates) {
             Cache* c = candidates[kCandidates];
-            if (room(cmd, *c, now) && (!yielding || c->filter.holds(cmd.key)) && c->out < busy) return c;
+            if (room(cmd, *c, now) && (!yielding || c->filter.holds(cmd.key)) && c->window.out < busy) return c;
         }
         return yielding;
     }
@@ -294,10 +323,10 @@
     Cache* originFor(Command& cmd, Nanos now) {
         Cache* best = nullptr;
         for (Cache* c : origins)
-            if (c->presence == Presence::ready && (!best || c->out < best->out)) best = c;
+            if (c->presence == Presence::ready && (!best || c->window.out < best->window.out)) best = c;
         if (!best || !room(cmd, *best, now)) return nullptr;
         // Misses at cold caches may not be what brings the origin down: a quarter of its window at most.
-        if (cmd.atCold && coldFetches >= std::max(1, static_cast<int>(best->window / 4))) return nullptr;
+        if (cmd.atCold && coldFetches >= std::max(1, static_cast<int>(best->window.size / 4))) return nullptr;
         return best;
     }
 
@@ -335,7 +364,8 @@
             for (Cache* c : fleet) c->filter.clear(cmd.key);
         host.relay(cmd.id, to.name, relayUntil(cmd, to, now));
         cmd.relays.push_back({&to, now, Standing::out});
-        ++to.out;
+        ++to.window.out;
+        if (!to.origin) ++whole.out;
         to.sentLately.add(now, 1);
     }
 
@@ -365,28 +395,11 @@
         return own->sent.read(now) / usage->customer->quotaPerSecond > fair;
     }
 
-    void cutWindow(Cache& c, Nanos now, Nanos spent, double factor) {
-        // Once a round trip: all that was out together tells of one and the same jam.
-        if (now - c.windowCutAt < spent) return;
-        c.window = std::max(0.05, c.window * factor);
-        c.windowCutAt = now;
-    }
-
-    // How answers fare against the goals, time-outs among them: else a jam in which nothing is answered at all
-    // would go unseen by the window.
+    // Time-outs and misses too: in a jam hardly anything is answered, yet all that ends tells of the queue.
     void learnTime(Cache& c, const Command& cmd, Nanos now, Nanos spent) {
-        const double part = static_cast<double>(spent) / static_cast<double>(std::max<Nanos>(cmd.verb->goal, 1));
-        // Steps towards the median: a few suddenly heavy commands would move a mean and cut windows where
-        // nothing queues, while a queue delays all that is answered.
-        c.lateness = c.lateness == 0 ? part : std::max(0.01, c.lateness * (part > c.lateness ? 1.1 : 0.9));
-        // A slow machine may need most of the goal when idle: only what lies well over that is a queue.
-        c.idle = std::min(c.idle * 1.002, c.lateness);
-        if (c.lateness > std::clamp(2 * c.idle, kLatenessWanted, kLatenessMost))
-            cutWindow(c, now, spent, 0.85);
-        else if (c.out + 1 >= c.window * 0.75)
-            c.window += c.windowCutAt == 0 ? 0.5 : 0.5 / std::max(c.window, 2.0);
-        // With many routers even one relay each is too much: a window under one is kept by waiting between.
-        c.nextAt = c.window < 1 ? now + static_cast<Nanos>(spent * (1 / c.window - 1)) : 0;
+        c.window.learn(now, spent, cmd.verb->goal);
+        // Where many routers share many caches, one pair has too few answers to learn from in time.
+        if (!c.origin) whole.learn(now, spent, cmd.verb->goal);
     }
 
     void learnAnswer(Cache& c, const Command& cmd, Nanos now, Nanos spent) {
@@ -404,13 +417,15 @@
     void learn(Cache& c, const Command& cmd, const RelayEnd& end, Nanos now) {
         switch (end.ending) {
             case Ending::answered: return learnAnswer(c, cmd, now, end.spent);
-            case Ending::noneHere: return c.endings.add(now, 1);
+            case Ending::noneHere:
+                learnTime(c, cmd, now, end.spent);
+                return c.endings.add(now, 1);
             case Ending::undone:
             case Ending::notSent: return;
-            case Ending::noRoom: return cutWindow(c, now, typical(now), 0.7);
+            case Ending::noRoom: return c.window.cut(now, typical(now), 0.7);
             case Ending::timedOut:
                 // Sent with hardly any time left, it proves nothing of the cache.
-                if (end.spent < 2 * typical(now)) return;
+                if (end.spent < cmd.verb->goal / 2) return;
                 learnTime(c, cmd, now, end.spent);
                 break;
             case Ending::noRoute:
@@ -450,7 +465,7 @@
         if (c.trialsLeft > 0) c.asideFor = std::min(2 * c.asideFor, 16 * kSecond);
         c.asideUntil = now + c.asideFor + spread(c.asideFor / 4);
         c.trialsLeft = 3;
-        c.window = 1;
+        c.window.size = 1;
         c.endings.clear();
         c.failures.clear();
         ++fleetState;
@@ -524,7 +539,7 @@
         for (Cache* c : fleet)
             if (usable(*c, now)) {
                 ++ready;
-                out += c->out;
+                out += c->window.out;
             }
         meanOut = ready ? static_cast<double>(out) / ready : 0;
         if (now < paceAt) return;
@@ -566,11 +581,11 @@
                 slot = std::make_unique<Cache>(e.name, std::max<Nanos>(terms.fallSpan, 1));
                 slot->origin = terms.aside && e.shape == terms.originShape;
                 (slot->origin ? origins : fleet).push_back(slot.get());
-                if (e.cameUp > 0 && now - e.cameUp < terms.ramp) slot->window = 2;
+                if (e.cameUp > 0 && now - e.cameUp < terms.ramp) slot->window.size = 2;
             } else if (e.cameUp > slot->cameUp) {
                 // Departure: a cache restarted under its old id has lost what its hints say it holds.
                 slot->filter.wipe();
-                slot->window = std::min(slot->window, 2.0);
+                slot->window.size = std::min(slot->window.size, 2.0);
             }
             slot->zone = e.zone;
             slot->cell = e.cell;
@@ -579,6 +594,7 @@
             slot->size = e.size;
         }
         ++fleetState;
+        if (whole.cutAt == 0) whole.size = std::max({whole.size, 8.0, 2.0 * static_cast<double>(fleet.size())});
     }
 
     void arrival(Nanos now, const Arrival& a) {
@@ -610,7 +626,8 @@
         if (relay.standing != Standing::out) return;
         relay.standing = end.ending >= Ending::noRoom ? Standing::neverRan : Standing::mayHaveRun;
         Cache& from = *relay.to;
-        --from.out;
+        --from.window.out;
+        if (!from.origin) --whole.out;
         if (from.origin && cmd.atCold) --coldFetches;
         if (end.ending == Ending::noneHere && warmth(from, now) < 1) cmd.atCold = true;
         learn(from, cmd, end, now);
@@ -646,6 +663,7 @@
     Decaying answers{kMemory};
     Decaying answerTime{kMemory};
     std::uint64_t fleetState = 1;
+    Window whole;  // over all caches
     double meanOut = 0;
     double warmPace = 0;  // relays in a span that a warm cache of size 1 takes from this router
     int coldFetches = 0;
