--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -131,8 +131,10 @@
         cutAt = now;
     }
 
-    void learn(Nanos now, Nanos spent, Nanos goal) {
+    void learn(Nanos now, Nanos spent, Nanos goal, bool miss) {
         const double part = static_cast<double>(spent) / static_cast<double>(std::max<Nanos>(goal, 1));
+        // A quick miss says little of how long an answer takes; a slow one has waited in the same queue.
+        if (miss && part <= lateness) return;
         // Steps towards the median: a few suddenly heavy commands would move a mean and cut windows where
         // nothing queues, while a queue delays all that is answered.
         lateness = lateness == 0 ? part : std::max(0.01, lateness * (part > lateness ? 1.1 : 0.9));
@@ -396,15 +398,15 @@
     }
 
     // Time-outs and misses too: in a jam hardly anything is answered, yet all that ends tells of the queue.
-    void learnTime(Cache& c, const Command& cmd, Nanos now, Nanos spent) {
-        c.window.learn(now, spent, cmd.verb->goal);
+    void learnTime(Cache& c, const Command& cmd, Nanos now, Nanos spent, bool miss) {
+        c.window.learn(now, spent, cmd.verb->goal, miss);
         // Where many routers share many caches, one pair has too few answers to learn from in time.
-        if (!c.origin) whole.learn(now, spent, cmd.verb->goal);
+        if (!c.origin) whole.learn(now, spent, cmd.verb->goal, miss);
     }
 
     void learnAnswer(Cache& c, const Command& cmd, Nanos now, Nanos spent) {
         const bool late = spent > cmd.verb->goal;
-        learnTime(c, cmd, now, spent);
+        learnTime(c, cmd, now, spent, false);
         c.credit = std::min(c.credit + 0.2, 10.0);
         answers.add(now, 1);
         answerTime.add(now, static_cast<double>(spent));
@@ -418,7 +420,7 @@
         switch (end.ending) {
             case Ending::answered: return learnAnswer(c, cmd, now, end.spent);
             case Ending::noneHere:
-                learnTime(c, cmd, now, end.spent);
+                learnTime(c, cmd, now, end.spent, true);
                 return c.endings.add(now, 1);
             case Ending::undone:
             case Ending::notSent: return;
@@ -426,7 +428,7 @@
             case Ending::timedOut:
                 // Sent with hardly any time left, it proves nothing of the cache.
                 if (end.spent < cmd.verb->goal / 2) return;
-                learnTime(c, cmd, now, end.spent);
+                learnTime(c, cmd, now, end.spent, false);
                 break;
             case Ending::noRoute:
             case Ending::cut:
