--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -131,10 +131,8 @@
         cutAt = now;
     }
 
-    void learn(Nanos now, Nanos spent, Nanos goal, bool miss) {
+    void learn(Nanos now, Nanos spent, Nanos goal) {
         const double part = static_cast<double>(spent) / static_cast<double>(std::max<Nanos>(goal, 1));
-        // A quick miss says little of how long an answer takes; a slow one has waited in the same queue.
-        if (miss && part <= lateness) return;
         // Steps towards the median: a few suddenly heavy commands would move a mean and cut windows where
         // nothing queues, while a queue delays all that is answered.
         lateness = lateness == 0 ? part : std::max(0.01, lateness * (part > lateness ? 1.1 : 0.9));
@@ -397,16 +395,16 @@
         return own->sent.read(now) / usage->customer->quotaPerSecond > fair;
     }
 
-    // Time-outs and misses too: in a jam hardly anything is answered, yet all that ends tells of the queue.
-    void learnTime(Cache& c, const Command& cmd, Nanos now, Nanos spent, bool miss) {
-        c.window.learn(now, spent, cmd.verb->goal, miss);
+    // Time-outs too: in a jam hardly anything is answered. A miss tells nothing of how long an answer takes.
+    void learnTime(Cache& c, const Command& cmd, Nanos now, Nanos spent) {
+        c.window.learn(now, spent, cmd.verb->goal);
         // Where many routers share many caches, one pair has too few answers to learn from in time.
-        if (!c.origin) whole.learn(now, spent, cmd.verb->goal, miss);
+        if (!c.origin) whole.learn(now, spent, cmd.verb->goal);
     }
 
     void learnAnswer(Cache& c, const Command& cmd, Nanos now, Nanos spent) {
         const bool late = spent > cmd.verb->goal;
-        learnTime(c, cmd, now, spent, false);
+        learnTime(c, cmd, now, spent);
         c.credit = std::min(c.credit + 0.2, 10.0);
         answers.add(now, 1);
         answerTime.add(now, static_cast<double>(spent));
@@ -419,16 +417,14 @@
     void learn(Cache& c, const Command& cmd, const RelayEnd& end, Nanos now) {
         switch (end.ending) {
             case Ending::answered: return learnAnswer(c, cmd, now, end.spent);
-            case Ending::noneHere:
-                learnTime(c, cmd, now, end.spent, true);
-                return c.endings.add(now, 1);
+            case Ending::noneHere: return c.endings.add(now, 1);
             case Ending::undone:
             case Ending::notSent: return;
             case Ending::noRoom: return c.window.cut(now, typical(now), 0.7);
             case Ending::timedOut:
                 // Sent with hardly any time left, it proves nothing of the cache.
                 if (end.spent < cmd.verb->goal / 2) return;
-                learnTime(c, cmd, now, end.spent, false);
+                learnTime(c, cmd, now, end.spent);
                 break;
             case Ending::noRoute:
             case Ending::cut:
