--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -135,7 +135,7 @@
         const double part = static_cast<double>(spent) / static_cast<double>(std::max<Nanos>(goal, 1));
         // Steps towards the median: a few suddenly heavy commands would move a mean and cut windows where
         // nothing queues, while a queue delays all that is answered.
-        lateness = lateness == 0 ? part : std::max(0.01, lateness * (part > lateness ? 1.1 : 0.9));
+        lateness = lateness == 0 ? part : std::max(0.01, lateness * (part > lateness ? 1.04 : 0.96));
         // A slow machine may need most of the goal when idle: only what lies well over that is a queue.
         idle = std::min(idle * 1.002, lateness);
         if (lateness > std::clamp(2 * idle, kLatenessWanted, kLatenessMost))
@@ -395,7 +395,7 @@
         return own->sent.read(now) / usage->customer->quotaPerSecond > fair;
     }
 
-    // Time-outs too: in a jam hardly anything is answered. A miss tells nothing of how long an answer takes.
+    // Time-outs and misses too: in a jam hardly anything is answered, yet all that ends tells of the queue.
     void learnTime(Cache& c, const Command& cmd, Nanos now, Nanos spent) {
         c.window.learn(now, spent, cmd.verb->goal);
         // Where many routers share many caches, one pair has too few answers to learn from in time.
@@ -417,7 +417,9 @@
     void learn(Cache& c, const Command& cmd, const RelayEnd& end, Nanos now) {
         switch (end.ending) {
             case Ending::answered: return learnAnswer(c, cmd, now, end.spent);
-            case Ending::noneHere: return c.endings.add(now, 1);
+            case Ending::noneHere:
+                learnTime(c, cmd, now, end.spent);
+                return c.endings.add(now, 1);
             case Ending::undone:
             case Ending::notSent: return;
             case Ending::noRoom: return c.window.cut(now, typical(now), 0.7);
