--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -135,10 +135,10 @@
         const double part = static_cast<double>(spent) / static_cast<double>(std::max<Nanos>(goal, 1));
         // Steps towards the median: a few suddenly heavy commands would move a mean and cut windows where
         // nothing queues, while a queue delays all that is answered.
-        lateness = lateness == 0 ? part : std::max(0.01, lateness * (part > lateness ? 1.04 : 0.96));
+        lateness = lateness == 0 ? part : std::max(0.01, lateness * (part > lateness ? 1.1 : 0.9));
         // A slow machine may need most of the goal when idle: only what lies well over that is a queue.
         idle = std::min(idle * 1.002, lateness);
-        if (lateness > std::clamp(2 * idle, kLatenessWanted, kLatenessMost))
+        if (lateness > std::clamp(3 * idle, kLatenessWanted, kLatenessMost))
             cut(now, spent, 0.85);
         else if (out + 1 >= size * 0.75)
             size += cutAt == 0 ? 0.5 : 0.5 / std::max(size, 2.0);
