--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -30,7 +30,6 @@
 
 constexpr Nanos kMemory = 5 * kSecond;             // over which a cache's endings are weighed
 constexpr double kLatenessWanted = 0.4;            // of the goal: the spread about the median needs the rest
-constexpr double kLatenessOfAll = 0.55;            // over all caches, which each keep to their own window first
 constexpr double kLatenessMost = 0.7;              // and no more than this, however slow a cache is when idle
 constexpr Nanos kShareMemory = 2 * kSecond;        // over which a customer's use is weighed
 
@@ -138,8 +137,11 @@
         // nothing queues, while a queue delays all that is answered.
         lateness = lateness == 0 ? part : std::max(0.01, lateness * (part > lateness ? 1.1 : 0.9));
         // A slow machine may need most of the goal when idle: only what lies well over that is a queue.
-        idle = std::min(idle * 1.002, lateness);
-        if (lateness > std::clamp(2 * idle, wanted, kLatenessMost))
+        // Read by slower steps: the least value of a nervous median lies far under what idle caches really take.
+        usual = usual == 0 ? part : std::max(0.01, usual * (part > usual ? 1.02 : 0.98));
+        if (++seen == 32) idle = usual;
+        idle = std::min(idle * 1.0002, usual);
+        if (lateness > std::clamp(2 * idle, kLatenessWanted, kLatenessMost))
             cut(now, spent, 0.85);
         else if (out + 1 >= size * 0.75)
             size += cutAt == 0 ? 0.5 : 0.5 / std::max(size, 2.0);
@@ -147,10 +149,11 @@
         nextAt = size < 1 ? now + static_cast<Nanos>(spent * (1 / size - 1)) : 0;
     }
 
-    double wanted;
     double size = 4;
     double lateness = 0;  // running median of an answer's time as a part of its goal
-    double idle = 1;      // the least that median has been, forgotten slowly
+    double usual = 0;     // the same, slower
+    double idle = 1;      // the least the slower one has been, forgotten slower still
+    int seen = 0;
     int out = 0;
     Nanos cutAt = 0;
     Nanos nextAt = 0;
@@ -169,7 +172,7 @@
     bool origin = false;
 
     Filter filter;
-    Window window{kLatenessWanted};
+    Window window;
     double credit = 2;          // further relays it may take; its answers earn them
     Decaying endings{kMemory};
     Decaying failures{kMemory};
@@ -665,7 +668,7 @@
     Decaying answers{kMemory};
     Decaying answerTime{kMemory};
     std::uint64_t fleetState = 1;
-    Window whole{kLatenessOfAll};  // over all caches
+    Window whole;  // over all caches
     double meanOut = 0;
     double warmPace = 0;  // relays in a span that a warm cache of size 1 takes from this router
     int coldFetches = 0;
