--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -135,7 +135,7 @@
         const double part = static_cast<double>(spent) / static_cast<double>(std::max<Nanos>(goal, 1));
         // Steps towards the median: a few suddenly heavy commands would move a mean and cut windows where
         // nothing queues, while a queue delays all that is answered.
-        lateness = lateness == 0 ? part : std::max(0.01, lateness * (part > lateness ? 1.1 : 0.9));
+        lateness = lateness == 0 ? part : std::max(0.01, lateness * (part > lateness ? 1 + step : 1 - step));
         // A slow machine may need most of the goal when idle: only what lies well over that is a queue.
         // Read by slower steps: the least value of a nervous median lies far under what idle caches really take.
         usual = usual == 0 ? part : std::max(0.01, usual * (part > usual ? 1.02 : 0.98));
@@ -149,6 +149,7 @@
         nextAt = size < 1 ? now + static_cast<Nanos>(spent * (1 / size - 1)) : 0;
     }
 
+    double step;  // of the quick median: coarse where answers are few and it must react to some ten of them
     double size = 4;
     double lateness = 0;  // running median of an answer's time as a part of its goal
     double usual = 0;     // the same, slower
@@ -172,7 +173,7 @@
     bool origin = false;
 
     Filter filter;
-    Window window;
+    Window window{0.1};
     double credit = 2;          // further relays it may take; its answers earn them
     Decaying endings{kMemory};
     Decaying failures{kMemory};
@@ -668,7 +669,7 @@
     Decaying answers{kMemory};
     Decaying answerTime{kMemory};
     std::uint64_t fleetState = 1;
-    Window whole;  // over all caches
+    Window whole{0.04};  // over all caches
     double meanOut = 0;
     double warmPace = 0;  // relays in a span that a warm cache of size 1 takes from this router
     int coldFetches = 0;
