--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -29,7 +29,7 @@
 constexpr double kYieldFloor = 2;
 
 constexpr Nanos kMemory = 5 * kSecond;             // over which a cache's endings are weighed
-constexpr double kLatenessWanted = 0.4;            // of the goal: the spread about the median needs the rest
+constexpr double kLatenessWanted = 0.25;            // of the goal: the spread about the median needs the rest
 constexpr double kLatenessMost = 0.7;              // and no more than this, however slow a cache is when idle
 constexpr Nanos kShareMemory = 2 * kSecond;        // over which a customer's use is weighed
 
