--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -29,7 +29,7 @@
 constexpr double kYieldFloor = 2;
 
 constexpr Nanos kMemory = 5 * kSecond;             // over which a cache's endings are weighed
-constexpr double kLatenessWanted = 0.25;            // of the goal: the spread about the median needs the rest
+constexpr double kLatenessWanted = 0.4;            // of the goal: the spread about the median needs the rest
 constexpr double kLatenessMost = 0.7;              // and no more than this, however slow a cache is when idle
 constexpr Nanos kShareMemory = 2 * kSecond;        // over which a customer's use is weighed
 
@@ -122,7 +122,11 @@
 
 // How many relays may be out, learnt from how answers fare against their goals.
 struct Window {
-    bool open(Nanos now) const { return out < std::max(1.0, std::floor(size)) && now >= nextAt; }
+    // Beyond its share a customer leaves a quarter free: what is within share would else find it full.
+    bool open(Nanos now, bool beyondShare) const {
+        if (beyondShare) return out + 1 <= size * 0.75 && now >= nextAt;
+        return out < std::max(1.0, std::floor(size)) && now >= nextAt;
+    }
 
     void cut(Nanos now, Nanos spent, double factor) {
         // Once a round trip: all that was out together tells of one and the same jam.
@@ -135,7 +139,7 @@
         const double part = static_cast<double>(spent) / static_cast<double>(std::max<Nanos>(goal, 1));
         // Steps towards the median: a few suddenly heavy commands would move a mean and cut windows where
         // nothing queues, while a queue delays all that is answered.
-        lateness = lateness == 0 ? part : std::max(0.01, lateness * (part > lateness ? 1 + step : 1 - step));
+        lateness = lateness == 0 ? part : std::max(0.01, lateness * (part > lateness ? 1.1 : 0.9));
         // A slow machine may need most of the goal when idle: only what lies well over that is a queue.
         // Read by slower steps: the least value of a nervous median lies far under what idle caches really take.
         usual = usual == 0 ? part : std::max(0.01, usual * (part > usual ? 1.02 : 0.98));
@@ -149,7 +153,6 @@
         nextAt = size < 1 ? now + static_cast<Nanos>(spent * (1 / size - 1)) : 0;
     }
 
-    double step;  // of the quick median: coarse where answers are few and it must react to some ten of them
     double size = 4;
     double lateness = 0;  // running median of an answer's time as a part of its goal
     double usual = 0;     // the same, slower
@@ -173,7 +176,7 @@
     bool origin = false;
 
     Filter filter;
-    Window window{0.1};
+    Window window;
     double credit = 2;          // further relays it may take; its answers earn them
     Decaying endings{kMemory};
     Decaying failures{kMemory};
@@ -293,7 +296,7 @@
     }
 
     bool room(const Command& cmd, Cache& c, Nanos now) {
-        if (!c.window.open(now) || !(c.origin || whole.open(now)) || !legal(cmd, &c, now)) return false;
+        if (!c.window.open(now, cmd.beyondShare) || !(c.origin || whole.open(now, cmd.beyondShare)) || !legal(cmd, &c, now)) return false;
         if (c.trialsLeft > 0 && cmd.verb->effect != Effect::pure) return false;
         if (cmd.failedBefore && c.credit < 1) return false;
         for (const Relay& r : cmd.relays)
@@ -386,7 +389,7 @@
         cmd.closed = true;
     }
 
-    bool beyondShare(const Usage* usage, Nanos now) {
+    bool beyondShare(Usage* usage, Nanos now) {
         if (!usage || usage->customer->quotaPerSecond <= 0) return false;
         double sent = 0;
         double quota = 0;
@@ -396,9 +399,9 @@
         }
         // A router can't know its part of all traffic: the customers' mean use of their shares stands for it.
         const double life = static_cast<double>(kShareMemory) / kSecond;
-        const double fair = std::max(life / terms.routers, sent / std::max(quota, 1e-9));
-        Usage* own = const_cast<Usage*>(usage);
-        return own->sent.read(now) / usage->customer->quotaPerSecond > fair;
+        const double fair = std::max(life / terms.routers, sent / std::max(quota, 1e-9)) * usage->customer->quotaPerSecond;
+        // Past what chance gives a customer that keeps to its share, or small ones would be taken for greedy.
+        return usage->sent.read(now) > fair + 2 * std::sqrt(fair);
     }
 
     // Time-outs and misses too: in a jam hardly anything is answered, yet all that ends tells of the queue.
@@ -669,7 +672,7 @@
     Decaying answers{kMemory};
     Decaying answerTime{kMemory};
     std::uint64_t fleetState = 1;
-    Window whole{0.04};  // over all caches
+    Window whole;  // over all caches
     double meanOut = 0;
     double warmPace = 0;  // relays in a span that a warm cache of size 1 takes from this router
     int coldFetches = 0;
