--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -196,6 +196,7 @@
 
 struct Usage {
     const Customer* customer;
+    Decaying asked{kShareMemory};
     Decaying sent{kShareMemory};
 };
 
@@ -391,15 +392,14 @@
 
     bool beyondShare(Usage* usage, Nanos now) {
         if (!usage || usage->customer->quotaPerSecond <= 0) return false;
-        double sent = 0;
-        double quota = 0;
-        for (const auto& u : usages) {
-            sent += u->sent.read(now);
-            quota += u->customer->quotaPerSecond;
-        }
-        // A router can't know its part of all traffic: the customers' mean use of their shares stands for it.
-        const double life = static_cast<double>(kShareMemory) / kSecond;
-        const double fair = std::max(life / terms.routers, sent / std::max(quota, 1e-9)) * usage->customer->quotaPerSecond;
+        // A router can't know its part of all traffic, and an even part would take each customer of a busy router
+        // for greedy: what the median customer asks of its share stands for it.
+        std::vector<double> parts;
+        for (const auto& u : usages)
+            if (const double quota = u->customer->quotaPerSecond; quota > 0) parts.push_back(u->asked.read(now) / quota);
+        std::nth_element(parts.begin(), parts.begin() + parts.size() / 2, parts.end());
+        const double even = static_cast<double>(kShareMemory) / kSecond / terms.routers;
+        const double fair = std::max(even, parts[parts.size() / 2]) * usage->customer->quotaPerSecond;
         // Past what chance gives a customer that keeps to its share, or small ones would be taken for greedy.
         return usage->sent.read(now) > fair + 2 * std::sqrt(fair);
     }
@@ -622,6 +622,7 @@
         cmd.write = a.write;
         cmd.giveUpAt = a.giveUpAt;
         cmd.goalAt = now + cmd.verb->goal;
+        if (cmd.usage) cmd.usage->asked.add(now, 1);
         cmd.beyondShare = beyondShare(cmd.usage, now);
         waiting.push_back(&cmd);
     }
