--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -196,7 +196,6 @@
 
 struct Usage {
     const Customer* customer;
-    Decaying asked{kShareMemory};
     Decaying sent{kShareMemory};
 };
 
@@ -393,10 +392,10 @@
     bool beyondShare(Usage* usage, Nanos now) {
         if (!usage || usage->customer->quotaPerSecond <= 0) return false;
         // A router can't know its part of all traffic, and an even part would take each customer of a busy router
-        // for greedy: what the median customer asks of its share stands for it.
+        // for greedy: what the median customer is sent of its share stands for it (what it asks is swollen by retries).
         std::vector<double> parts;
         for (const auto& u : usages)
-            if (const double quota = u->customer->quotaPerSecond; quota > 0) parts.push_back(u->asked.read(now) / quota);
+            if (const double quota = u->customer->quotaPerSecond; quota > 0) parts.push_back(u->sent.read(now) / quota);
         std::nth_element(parts.begin(), parts.begin() + parts.size() / 2, parts.end());
         const double even = static_cast<double>(kShareMemory) / kSecond / terms.routers;
         const double fair = std::max(even, parts[parts.size() / 2]) * usage->customer->quotaPerSecond;
@@ -622,7 +621,6 @@
         cmd.write = a.write;
         cmd.giveUpAt = a.giveUpAt;
         cmd.goalAt = now + cmd.verb->goal;
-        if (cmd.usage) cmd.usage->asked.add(now, 1);
         cmd.beyondShare = beyondShare(cmd.usage, now);
         waiting.push_back(&cmd);
     }
