--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -145,7 +145,9 @@
         usual = usual == 0 ? part : std::max(0.01, usual * (part > usual ? 1.02 : 0.98));
         if (++seen == 32) idle = usual;
         idle = std::min(idle * 1.0002, usual);
-        if (lateness > std::clamp(2 * idle, kLatenessWanted, kLatenessMost))
+        const double wanted = std::clamp(2 * idle, kLatenessWanted, kLatenessMost);
+        // Both medians: the quick one alone wanders over the line where hits and misses mix.
+        if (lateness > wanted && usual > 0.6 * wanted)
             cut(now, spent, 0.85);
         else if (out + 1 >= size * 0.75)
             size += cutAt == 0 ? 0.5 : 0.5 / std::max(size, 2.0);
