--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -150,7 +150,7 @@
         if (lateness > wanted && usual > 0.6 * wanted)
             cut(now, spent, 0.85);
         else if (out + 1 >= size * 0.75)
-            size += cutAt == 0 ? 0.5 : 0.5 / std::max(size, 2.0);
+            size += cutAt == 0 ? 0.5 : 2 / std::max(size, 8.0);
         // With many routers even one relay each is too much: a size under one is kept by waiting between.
         nextAt = size < 1 ? now + static_cast<Nanos>(spent * (1 / size - 1)) : 0;
     }
