--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -147,14 +147,17 @@
         idle = std::min(idle * 1.0002, usual);
         const double wanted = std::clamp(2 * idle, kLatenessWanted, kLatenessMost);
         // Both medians: the quick one alone wanders over the line where hits and misses mix.
-        if (lateness > wanted && usual > 0.6 * wanted)
+        lateShare += ((part > 1 ? 1 : 0) - lateShare) / 32;
+        if (lateness > wanted && usual > 0.6 * wanted && lateShare >= lateLeast)
             cut(now, spent, 0.85);
         else if (out + 1 >= size * 0.75)
-            size += cutAt == 0 ? 0.5 : 2 / std::max(size, 8.0);
+            size += cutAt == 0 ? 0.5 : 0.5 / std::max(size, 2.0);
         // With many routers even one relay each is too much: a size under one is kept by waiting between.
         nextAt = size < 1 ? now + static_cast<Nanos>(spent * (1 / size - 1)) : 0;
     }
 
+    double lateLeast = 0;  // share of late answers without which no jam is seen
+    double lateShare = 0;
     double size = 4;
     double lateness = 0;  // running median of an answer's time as a part of its goal
     double usual = 0;     // the same, slower
@@ -673,7 +676,7 @@
     Decaying answers{kMemory};
     Decaying answerTime{kMemory};
     std::uint64_t fleetState = 1;
-    Window whole;  // over all caches
+    Window whole{0.05};  // over all caches
     double meanOut = 0;
     double warmPace = 0;  // relays in a span that a warm cache of size 1 takes from this router
     int coldFetches = 0;
