--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -147,8 +147,7 @@
         idle = std::min(idle * 1.0002, usual);
         const double wanted = std::clamp(2 * idle, kLatenessWanted, kLatenessMost);
         // Both medians: the quick one alone wanders over the line where hits and misses mix.
-        lateShare += ((part > 1 ? 1 : 0) - lateShare) / 32;
-        if (lateness > wanted && usual > 0.6 * wanted && lateShare >= lateLeast)
+        if (lateness > wanted && usual > 0.6 * wanted)
             cut(now, spent, 0.85);
         else if (out + 1 >= size * 0.75)
             size += cutAt == 0 ? 0.5 : 0.5 / std::max(size, 2.0);
@@ -156,8 +155,6 @@
         nextAt = size < 1 ? now + static_cast<Nanos>(spent * (1 / size - 1)) : 0;
     }
 
-    double lateLeast = 0;  // share of late answers without which no jam is seen
-    double lateShare = 0;
     double size = 4;
     double lateness = 0;  // running median of an answer's time as a part of its goal
     double usual = 0;     // the same, slower
@@ -397,13 +394,14 @@
     bool beyondShare(Usage* usage, Nanos now) {
         if (!usage || usage->customer->quotaPerSecond <= 0) return false;
         // A router can't know its part of all traffic, and an even part would take each customer of a busy router
-        // for greedy: what the median customer is sent of its share stands for it (what it asks is swollen by retries).
+        // for greedy: what the median customer is sent of its share stands for it (what it asks is swollen by
+        // retries), and half as much again, since half of the customers lie above the median.
         std::vector<double> parts;
         for (const auto& u : usages)
             if (const double quota = u->customer->quotaPerSecond; quota > 0) parts.push_back(u->sent.read(now) / quota);
         std::nth_element(parts.begin(), parts.begin() + parts.size() / 2, parts.end());
         const double even = static_cast<double>(kShareMemory) / kSecond / terms.routers;
-        const double fair = std::max(even, parts[parts.size() / 2]) * usage->customer->quotaPerSecond;
+        const double fair = std::max(even, 1.5 * parts[parts.size() / 2]) * usage->customer->quotaPerSecond;
         // Past what chance gives a customer that keeps to its share, or small ones would be taken for greedy.
         return usage->sent.read(now) > fair + 2 * std::sqrt(fair);
     }
@@ -676,7 +674,7 @@
     Decaying answers{kMemory};
     Decaying answerTime{kMemory};
     std::uint64_t fleetState = 1;
-    Window whole{0.05};  // over all caches
+    Window whole;  // over all caches
     double meanOut = 0;
     double warmPace = 0;  // relays in a span that a warm cache of size 1 takes from this router
     int coldFetches = 0;
