A silent candidate yields as a busy one does

Cause: answers on one connection come in order, so behind one heavy command the next ones only wait; in a hang too. Told from load by nothing at all having ended there for three ordinary answers.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -31,6 +31,7 @@
 constexpr Nanos kMemory = 5 * kSecond;             // over which a cache's endings are weighed
 constexpr double kLatenessWanted = 0.4;            // of the goal: the spread about the median needs the rest
 constexpr double kLatenessMost = 0.7;              // and no more than this, however slow a cache is when idle
+constexpr Nanos kLeastSilence = 20 * kMillisecond; // shorter ones come with any few commands
 constexpr Nanos kShareMemory = 2 * kSecond;        // over which a customer's use is weighed
 
 std::uint64_t mix(std::uint64_t x) {
@@ -183,6 +184,7 @@
     Decaying endings{kMemory};
     Decaying failures{kMemory};
     Decaying sentLately;
+    Nanos heardAt = 0;          // when a relay last ended there, or the first was sent after none
     Nanos asideUntil = 0;       // set aside for its failures until then
     Nanos asideFor = kSecond;
     int trialsLeft = 0;         // answers it owes before it counts as recovered
@@ -310,17 +312,22 @@
     Cache* ordinary(Command& cmd, Nanos now) {
         const std::vector<Cache*>& candidates = candidatesFor(cmd, now);
         const double busy = std::max(kYieldFloor, kYieldMargin * meanOut);
+        // Silence yields too: behind one heavy command on a connection, or in a hang, the next would only wait.
+        const Nanos silence = std::max(3 * typical(now), kLeastSilence);
+        const auto yields = [&](const Cache& c) {
+            return c.window.out >= busy || (c.window.out > 0 && now - c.heardAt > silence);
+        };
         Cache* yielding = nullptr;
         for (const bool hinted : {true, false})
             for (std::size_t i = 0; i < std::min(candidates.size(), kCandidates); ++i) {
                 Cache* c = candidates[i];
                 if (c->filter.holds(cmd.key) != hinted || !room(cmd, *c, now)) continue;
-                if (c->window.out < busy) return c;
+                if (!yields(*c)) return c;
                 if (!yielding) yielding = c;
             }
         if (candidates.size() > kCandidates) {
             Cache* c = candidates[kCandidates];
-            if (room(cmd, *c, now) && (!yielding || c->filter.holds(cmd.key)) && c->window.out < busy) return c;
+            if (room(cmd, *c, now) && (!yielding || c->filter.holds(cmd.key)) && !yields(*c)) return c;
         }
         return yielding;
     }
@@ -375,7 +382,7 @@
             for (Cache* c : fleet) c->filter.clear(cmd.key);
         host.relay(cmd.id, to.name, relayUntil(cmd, to, now));
         cmd.relays.push_back({&to, now, Standing::out});
-        ++to.window.out;
+        if (to.window.out++ == 0) to.heardAt = now;
         if (!to.origin) ++whole.out;
         to.sentLately.add(now, 1);
     }
@@ -394,14 +401,13 @@
     bool beyondShare(Usage* usage, Nanos now) {
         if (!usage || usage->customer->quotaPerSecond <= 0) return false;
         // A router can't know its part of all traffic, and an even part would take each customer of a busy router
-        // for greedy: what the median customer is sent of its share stands for it (what it asks is swollen by
-        // retries), and half as much again, since half of the customers lie above the median.
+        // for greedy: what the median customer is sent of its share stands for it (what it asks is swollen by retries).
         std::vector<double> parts;
         for (const auto& u : usages)
             if (const double quota = u->customer->quotaPerSecond; quota > 0) parts.push_back(u->sent.read(now) / quota);
         std::nth_element(parts.begin(), parts.begin() + parts.size() / 2, parts.end());
         const double even = static_cast<double>(kShareMemory) / kSecond / terms.routers;
-        const double fair = std::max(even, 1.5 * parts[parts.size() / 2]) * usage->customer->quotaPerSecond;
+        const double fair = std::max(even, parts[parts.size() / 2]) * usage->customer->quotaPerSecond;
         // Past what chance gives a customer that keeps to its share, or small ones would be taken for greedy.
         return usage->sent.read(now) > fair + 2 * std::sqrt(fair);
     }
@@ -638,6 +644,7 @@
         relay.standing = end.ending >= Ending::noRoom ? Standing::neverRan : Standing::mayHaveRun;
         Cache& from = *relay.to;
         --from.window.out;
+        from.heardAt = now;
         if (!from.origin) --whole.out;
         if (from.origin && cmd.atCold) --coldFetches;
         if (end.ending == Ending::noneHere && warmth(from, now) < 1) cmd.atCold = true;
