--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -150,7 +150,7 @@
         // Both medians: the quick one alone wanders over the line where hits and misses mix.
         if (lateness > wanted && usual > 0.6 * wanted)
             cut(now, spent, 0.85);
-        else if (out + 1 >= size * 0.75)
+        else if (out + 1 >= std::floor(size) * 0.75)
             size += cutAt == 0 ? 0.5 : 0.5 / std::max(size, 2.0);
         // With many routers even one relay each is too much: a size under one is kept by waiting between.
         nextAt = size < 1 ? now + static_cast<Nanos>(spent * (1 / size - 1)) : 0;
