--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -30,6 +30,7 @@
 
 constexpr Nanos kMemory = 5 * kSecond;             // over which a cache's endings are weighed
 constexpr double kLatenessWanted = 0.4;            // of the goal: the spread about the median needs the rest
+constexpr double kOriginLateness = 0.25;           // for the origin, whose answer comes on top of a miss
 constexpr double kLatenessMost = 0.7;              // and no more than this, however slow a cache is when idle
 constexpr Nanos kLeastSilence = 20 * kMillisecond; // shorter ones come with any few commands
 constexpr Nanos kShareMemory = 2 * kSecond;        // over which a customer's use is weighed
@@ -146,7 +147,7 @@
         usual = usual == 0 ? part : std::max(0.01, usual * (part > usual ? 1.02 : 0.98));
         if (++seen == 32) idle = usual;
         idle = std::min(idle * 1.0002, usual);
-        const double wanted = std::clamp(2 * idle, kLatenessWanted, kLatenessMost);
+        const double wanted = std::clamp(2 * idle, least, kLatenessMost);
         // Both medians: the quick one alone wanders over the line where hits and misses mix.
         if (lateness > wanted && usual > 0.6 * wanted)
             cut(now, std::max(spent, static_cast<Nanos>(usual * static_cast<double>(goal))), 0.85);
@@ -156,6 +157,7 @@
         nextAt = size < 1 ? now + static_cast<Nanos>(spent * (1 / size - 1)) : 0;
     }
 
+    double least;  // lateness below which nothing is held to queue
     double size = 4;
     double lateness = 0;  // running median of an answer's time as a part of its goal
     double usual = 0;     // the same, slower
@@ -179,7 +181,7 @@
     bool origin = false;
 
     Filter filter;
-    Window window;
+    Window window{kLatenessWanted};
     double credit = 2;          // further relays it may take; its answers earn them
     Decaying endings{kMemory};
     Decaying failures{kMemory};
@@ -597,6 +599,7 @@
             if (!slot) {
                 slot = std::make_unique<Cache>(e.name, std::max<Nanos>(terms.fallSpan, 1));
                 slot->origin = terms.aside && e.shape == terms.originShape;
+                if (slot->origin) slot->window.least = kOriginLateness;
                 (slot->origin ? origins : fleet).push_back(slot.get());
                 if (e.cameUp > 0 && now - e.cameUp < terms.ramp) slot->window.size = 2;
             } else if (e.cameUp > slot->cameUp) {
@@ -681,7 +684,7 @@
     Decaying answers{kMemory};
     Decaying answerTime{kMemory};
     std::uint64_t fleetState = 1;
-    Window whole;  // over all caches
+    Window whole{kLatenessWanted};  // over all caches
     double meanOut = 0;
     double warmPace = 0;  // relays in a span that a warm cache of size 1 takes from this router
     int coldFetches = 0;
