No early time-outs until sixteen answers are known

With nothing known of what answers take, relays timed out at half the goal and set slow machines aside in the first second.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -33,6 +33,7 @@
 constexpr double kOriginLateness = 0.25;           // for the origin, whose answer comes on top of a miss
 constexpr double kLatenessMost = 0.7;              // and no more than this, however slow a cache is when idle
 constexpr Nanos kLeastSilence = 20 * kMillisecond; // shorter ones come with any few commands
+constexpr double kFewAnswers = 16;
 constexpr Nanos kShareMemory = 2 * kSecond;        // over which a customer's use is weighed
 
 std::uint64_t mix(std::uint64_t x) {
@@ -368,6 +369,8 @@
 
     Nanos relayUntil(const Command& cmd, const Cache& to, Nanos now) {
         if (to.origin || cmd.verb->effect != Effect::pure || !cmd.relays.empty()) return cmd.giveUpAt;
+        // Just started, nothing is known of what answers take: a guess would set slow machines aside at once.
+        if (answers.read(now) < kFewAnswers) return cmd.giveUpAt;
         // Long against what answers take, and early enough that another cache can still make the goal. When all
         // answers are slow no such moment exists, so that a slow fleet isn't asked everything twice.
         const Nanos usual = typical(now);
