--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -26,7 +26,7 @@
 constexpr std::size_t kCandidates = 2;
 constexpr std::size_t kMostCandidates = 3;
 constexpr double kYieldMargin = 2;
-constexpr double kYieldFloor = 2;
+constexpr double kYieldFloor = 4;
 
 constexpr Nanos kMemory = 5 * kSecond;             // over which a cache's endings are weighed
 constexpr double kLatenessWanted = 0.4;            // of the goal: the spread about the median needs the rest
