--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -26,7 +26,7 @@
 constexpr std::size_t kCandidates = 2;
 constexpr std::size_t kMostCandidates = 3;
 constexpr double kYieldMargin = 2;
-constexpr double kYieldFloor = 4;
+constexpr double kYieldFloor = 2;
 
 constexpr Nanos kMemory = 5 * kSecond;             // over which a cache's endings are weighed
 constexpr double kLatenessWanted = 0.4;            // of the goal: the spread about the median needs the rest
@@ -150,7 +150,7 @@
         idle = std::min(idle * 1.0002, usual);
         const double wanted = std::clamp(2 * idle, least, kLatenessMost);
         // Both medians: the quick one alone wanders over the line where hits and misses mix.
-        if (lateness > wanted && usual > 0.6 * wanted)
+        if (lateness > wanted && usual > proof * wanted)
             cut(now, std::max(spent, static_cast<Nanos>(usual * static_cast<double>(goal))), 0.85);
         else if (out + 1 >= std::floor(size) * 0.75)
             size += cutAt == 0 ? 0.5 : 0.5 / std::max(size, 2.0);
@@ -158,6 +158,7 @@
         nextAt = size < 1 ? now + static_cast<Nanos>(spent * (1 / size - 1)) : 0;
     }
 
+    double proof;  // part of it that the slower median must be over as well
     double least;  // lateness below which nothing is held to queue
     double size = 4;
     double lateness = 0;  // running median of an answer's time as a part of its goal
@@ -182,7 +183,7 @@
     bool origin = false;
 
     Filter filter;
-    Window window{kLatenessWanted};
+    Window window{0.6, kLatenessWanted};
     double credit = 2;          // further relays it may take; its answers earn them
     Decaying endings{kMemory};
     Decaying failures{kMemory};
@@ -321,13 +322,23 @@
             return c.window.out >= busy || (c.window.out > 0 && now - c.heardAt > silence);
         };
         Cache* yielding = nullptr;
-        for (const bool hinted : {true, false})
+        bool hold = false;
+        for (const bool hinted : {true, false}) {
+            if (hold) return yielding;
             for (std::size_t i = 0; i < std::min(candidates.size(), kCandidates); ++i) {
                 Cache* c = candidates[i];
-                if (c->filter.holds(cmd.key) != hinted || !room(cmd, *c, now)) continue;
-                if (!yields(*c)) return c;
-                if (!yielding) yielding = c;
+                if (c->filter.holds(cmd.key) != hinted) continue;
+                if (room(cmd, *c, now)) {
+                    if (!yields(*c)) return c;
+                    if (!yielding) yielding = c;
+                } else if (hinted && !cmd.failedBefore && !yields(*c) && !c->window.open(now, cmd.beyondShare)) {
+                    // Full like all the others: a miss elsewhere would cost the fleet, the origin and their
+                    // memory more than the wait. Only one that is worse off than its like sends its keys away.
+                    hold = hold || 2 * c->window.size >= meanWindow;
+                }
             }
+        }
+        if (hold) return yielding;
         if (candidates.size() > kCandidates) {
             Cache* c = candidates[kCandidates];
             if (room(cmd, *c, now) && (!yielding || c->filter.holds(cmd.key)) && !yields(*c)) return c;
@@ -558,12 +569,15 @@
             for (Cache* c : fleet) c->filter.swap();
         int out = 0;
         int ready = 0;
+        double windows = 0;
         for (Cache* c : fleet)
             if (usable(*c, now)) {
                 ++ready;
                 out += c->window.out;
+                windows += c->window.size;
             }
         meanOut = ready ? static_cast<double>(out) / ready : 0;
+        meanWindow = ready ? windows / ready : 0;
         if (now < paceAt) return;
         paceAt = now + 250 * kMillisecond;
         double warmSent = 0;
@@ -687,8 +701,9 @@
     Decaying answers{kMemory};
     Decaying answerTime{kMemory};
     std::uint64_t fleetState = 1;
-    Window whole{kLatenessWanted};  // over all caches
+    Window whole{0.9, kLatenessWanted};  // over all caches
     double meanOut = 0;
+    double meanWindow = 0;
     double warmPace = 0;  // relays in a span that a warm cache of size 1 takes from this router
     int coldFetches = 0;
     Nanos swapAt;
