--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -701,7 +701,7 @@
     Decaying answers{kMemory};
     Decaying answerTime{kMemory};
     std::uint64_t fleetState = 1;
-    Window whole{0.9, kLatenessWanted};  // over all caches
+    Window whole{0.6, kLatenessWanted};  // over all caches
     double meanOut = 0;
     double meanWindow = 0;
     double warmPace = 0;  // relays in a span that a warm cache of size 1 takes from this router
