What stands too far back in line is declined at once

Cause: held commands were declined only when their goal was out of reach, so those served had waited longest and were late. Now the line is as long as can start in half of its time at the rate of late answers; the rest is told so at once.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -232,7 +232,8 @@
 }  // namespace
 
 struct Router::Inside {
-    Inside(Terms given, Host& host, Nanos now) : terms(std::move(given)), host(host), chance(), swapAt(now) {
+    Inside(Terms given, Host& host, Nanos now)
+        : terms(std::move(given)), host(host), chance(), startedAt(now), swapAt(now) {
         std::seed_seq seed{static_cast<std::uint32_t>(terms.seed),
                            static_cast<std::uint32_t>(terms.seed >> 32)};
         chance.seed(seed);
@@ -545,8 +546,8 @@
     void settle(Nanos now) {
         refresh(now);
         if (waiting.size() > 1) {
-            // What a cache holds takes it half the time of what it must fetch or have fetched: in a jam, the same
-            // places answer twice as many hinted commands.
+            // What a cache holds takes it half the time of what it must fetch or have fetched: in a jam, the
+            // same places answer twice as many hinted commands.
             for (Command* cmd : waiting)
                 cmd->rank = cmd->verb->utility * (cmd->write || hintedSomewhere(*cmd, now) ? 2 : 1);
             std::stable_sort(waiting.begin(), waiting.end(), [](const Command* a, const Command* b) {
@@ -556,6 +557,10 @@
         }
         Nanos wakeWanted = askAt;
         std::size_t kept = 0;
+        Nanos ahead = 0;
+        const double life =
+            -static_cast<double>(kMemory) * std::expm1(-static_cast<double>(now - startedAt) / kMemory);
+        const auto answerGap = static_cast<Nanos>(life / std::max(answers.read(now), kFewAnswers));
         for (std::size_t i = 0; i < waiting.size(); ++i) {
             Command& cmd = *waiting[i];
             if (!cmd.closed) {
@@ -565,7 +570,9 @@
                     continue;
                 }
                 const Nanos lastStart = std::min(cmd.goalAt, cmd.giveUpAt) - typical(now);
-                const bool roomMayCome = at.waitsForFetch || !cmd.beyondShare;
+                // What stands too far back to start by half of its time is told so now, not after the wait.
+                const bool inReach = at.waitsForFetch || ++ahead * answerGap < (lastStart - now) / 2;
+                const bool roomMayCome = at.waitsForFetch || (!cmd.beyondShare && inReach);
                 const bool barred = cmd.failedBefore ||
                                     static_cast<int>(cmd.relays.size()) >= terms.maxRelays ||
                                     (cmd.candidates.empty() && origins.empty());
@@ -732,6 +739,7 @@
     double meanWindow = 0;
     double warmPace = 0;  // relays in a span that a warm cache of size 1 takes from this router
     int coldFetches = 0;
+    Nanos startedAt;
     Nanos swapAt;
     Nanos paceAt = 0;
     Nanos askAt = kNever;
