--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -571,7 +571,7 @@
                 }
                 const Nanos lastStart = std::min(cmd.goalAt, cmd.giveUpAt) - typical(now);
                 // What stands too far back to start by half of its time is told so now, not after the wait.
-                const bool inReach = at.waitsForFetch || ++ahead * answerGap < (lastStart - now) / 2;
+                const bool inReach = at.waitsForFetch || whole.cutAt == 0 || ++ahead * answerGap < (lastStart - now) / 2;
                 const bool roomMayCome = at.waitsForFetch || (!cmd.beyondShare && inReach);
                 const bool barred = cmd.failedBefore ||
                                     static_cast<int>(cmd.relays.size()) >= terms.maxRelays ||
