--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -150,7 +150,9 @@
         usual = usual == 0 ? part : std::max(0.01, usual * (part > usual ? 1.02 : 0.98));
         if (++seen == 32) idle = usual;
         idle = std::min(idle * 1.0002, usual);
-        const double wanted = std::clamp(2 * idle, least, kLatenessMost);
+        // At the origin all routers queue together: the fewer a router has there the more it bears, or those
+        // that know of a longer idle time would starve the rest.
+        const double wanted = std::clamp(2 * idle, least, kLatenessMost) + shared / std::max(size, 0.5);
         // Both medians: the quick one alone wanders over the line where hits and misses mix.
         if (lateness > wanted && usual > proof * wanted)
             cut(now, std::max(spent, static_cast<Nanos>(usual * static_cast<double>(goal))), 0.85);
@@ -160,8 +162,9 @@
         nextAt = size < 1 ? now + static_cast<Nanos>(spent * (1 / size - 1)) : 0;
     }
 
-    double proof;  // part of it that the slower median must be over as well
-    double least;  // lateness below which nothing is held to queue
+    double proof;       // part of it that the slower median must be over as well
+    double least;       // lateness below which nothing is held to queue
+    double shared = 0;  // what a window of one bears above that
     double size = 4;
     double lateness = 0;  // running median of an answer's time as a part of its goal
     double usual = 0;     // the same, slower
@@ -571,7 +574,8 @@
                 }
                 const Nanos lastStart = std::min(cmd.goalAt, cmd.giveUpAt) - typical(now);
                 // What stands too far back to start by half of its time is told so now, not after the wait.
-                const bool inReach = at.waitsForFetch || whole.cutAt == 0 || ++ahead * answerGap < (lastStart - now) / 2;
+                const bool inReach =
+                    at.waitsForFetch || whole.cutAt == 0 || ++ahead * answerGap < (lastStart - now) / 2;
                 const bool roomMayCome = at.waitsForFetch || (!cmd.beyondShare && inReach);
                 const bool barred = cmd.failedBefore ||
                                     static_cast<int>(cmd.relays.size()) >= terms.maxRelays ||
@@ -648,7 +652,7 @@
             if (!slot) {
                 slot = std::make_unique<Cache>(e.name, std::max<Nanos>(terms.fallSpan, 1));
                 slot->origin = terms.aside && e.shape == terms.originShape;
-                if (slot->origin) slot->window.least = kOriginLateness;
+                if (slot->origin) slot->window.least = slot->window.shared = kOriginLateness;
                 (slot->origin ? origins : fleet).push_back(slot.get());
                 if (e.cameUp > 0 && now - e.cameUp < terms.ramp) slot->window.size = 2;
             } else if (e.cameUp > slot->cameUp) {
