--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -33,7 +33,7 @@
 constexpr double kOriginLateness = 0.25;  // for the origin, whose answer comes on top of a miss
 constexpr double kLatenessMost = 0.7;     // and no more than this, however slow a cache is when idle
 constexpr Nanos kLeastSilence = 20 * kMillisecond;  // shorter ones come with any few commands
-constexpr double kFewAnswers = 16;
+constexpr int kFewAnswers = 32;
 constexpr Nanos kShareMemory = 2 * kSecond;  // over which a customer's use is weighed
 
 std::uint64_t mix(std::uint64_t x) {
@@ -148,7 +148,7 @@
         // Read by slower steps: the least value of a nervous median lies far under what idle caches really
         // take.
         usual = usual == 0 ? part : std::max(0.01, usual * (part > usual ? 1.02 : 0.98));
-        if (++seen == 32) idle = usual;
+        if (++seen == kFewAnswers) idle = usual;
         idle = std::min(idle * 1.0002, usual);
         // At the origin all routers queue together: the fewer a router has there the more it bears, or those
         // that know of a longer idle time would starve the rest.
@@ -449,7 +449,11 @@
     void learnTime(Cache& c, const Command& cmd, Nanos now, Nanos spent) {
         c.window.learn(now, spent, cmd.verb->goal);
         // Where many routers share many caches, one pair has too few answers to learn from in time.
-        if (!c.origin) whole.learn(now, spent, cmd.verb->goal);
+        if (c.origin) return;
+        // Measured by what that cache takes when idle: slow machines among fast ones are no jam.
+        const bool known = c.window.seen >= kFewAnswers && whole.seen >= kFewAnswers;
+        const double scale = known ? whole.idle / c.window.idle : 1;
+        whole.learn(now, static_cast<Nanos>(static_cast<double>(spent) * scale), cmd.verb->goal);
     }
 
     void learnAnswer(Cache& c, const Command& cmd, Nanos now, Nanos spent) {
@@ -563,7 +567,7 @@
         Nanos ahead = 0;
         const double life =
             -static_cast<double>(kMemory) * std::expm1(-static_cast<double>(now - startedAt) / kMemory);
-        const auto answerGap = static_cast<Nanos>(life / std::max(answers.read(now), kFewAnswers));
+        const auto answerGap = static_cast<Nanos>(life / std::max<double>(answers.read(now), kFewAnswers));
         for (std::size_t i = 0; i < waiting.size(); ++i) {
             Command& cmd = *waiting[i];
             if (!cmd.closed) {
