--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -31,7 +31,6 @@
 constexpr Nanos kMemory = 5 * kSecond;    // over which a cache's endings are weighed
 constexpr double kLatenessWanted = 0.4;   // of the goal: the spread about the median needs the rest
 constexpr double kOriginLateness = 0.25;  // for the origin, whose answer comes on top of a miss
-constexpr double kLatenessOfAll = 0.35;   // over all caches, each measured by its own idle time
 constexpr double kLatenessMost = 0.7;     // and no more than this, however slow a cache is when idle
 constexpr Nanos kLeastSilence = 20 * kMillisecond;  // shorter ones come with any few commands
 constexpr int kFewAnswers = 32;
@@ -743,7 +742,7 @@
     Decaying answers{kMemory};
     Decaying answerTime{kMemory};
     std::uint64_t fleetState = 1;
-    Window whole{0.6, kLatenessOfAll};  // over all caches
+    Window whole{0.6, kLatenessWanted};  // over all caches
     double meanOut = 0;
     double meanWindow = 0;
     double warmPace = 0;  // relays in a span that a warm cache of size 1 takes from this router
