--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -457,14 +457,11 @@
     }
 
     void learnAnswer(Cache& c, const Command& cmd, Nanos now, Nanos spent) {
-        const bool late = spent > cmd.verb->goal;
         learnTime(c, cmd, now, spent);
         c.credit = std::min(c.credit + 0.2, 10.0);
         answers.add(now, 1);
         answerTime.add(now, static_cast<double>(spent));
         c.endings.add(now, 1);
-        c.failures.add(now, late ? 0.5 : 0);
-        if (late) return judge(c, now);
         if (c.trialsLeft > 0 && --c.trialsLeft == 0) c.asideFor = kSecond;
     }
 
