--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -155,8 +155,7 @@
         const double wanted = std::clamp(2 * idle, least, kLatenessMost) + shared / std::max(size, 0.5);
         // Both medians: the quick one alone wanders over the line where hits and misses mix.
         if (lateness > wanted && usual > proof * wanted)
-            cut(now, std::max(spent, static_cast<Nanos>(usual * static_cast<double>(goal))),
-                std::clamp(wanted / lateness, 0.7, 0.95));
+            cut(now, std::max(spent, static_cast<Nanos>(usual * static_cast<double>(goal))), 0.85);
         else if (out + 1 >= std::floor(size) * 0.75)
             size += cutAt == 0 ? 0.5 : 0.5 / std::max(size, 2.0);
         // With many routers even one relay each is too much: a size under one is kept by waiting between.
