--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -33,6 +33,7 @@
 constexpr double kOriginLateness = 0.25;  // for the origin, whose answer comes on top of a miss
 constexpr double kLatenessMost = 0.7;     // and no more than this, however slow a cache is when idle
 constexpr Nanos kLeastSilence = 20 * kMillisecond;  // shorter ones come with any few commands
+constexpr double kOpening = 12;  // relays that all routers together have at a cache when they start
 constexpr int kFewAnswers = 32;
 constexpr Nanos kShareMemory = 2 * kSecond;  // over which a customer's use is weighed
 
@@ -655,7 +656,10 @@
                 slot->origin = terms.aside && e.shape == terms.originShape;
                 if (slot->origin) slot->window.least = slot->window.shared = kOriginLateness;
                 (slot->origin ? origins : fleet).push_back(slot.get());
-                if (e.cameUp > 0 && now - e.cameUp < terms.ramp) slot->window.size = 2;
+                // What all routers together open with must not grow with their number, or queues start full.
+                slot->window.size = std::clamp(kOpening / terms.routers, 1.0, 4.0);
+                if (e.cameUp > 0 && now - e.cameUp < terms.ramp)
+                    slot->window.size = std::min(slot->window.size, 2.0);
             } else if (e.cameUp > slot->cameUp) {
                 // Departure: a cache restarted under its old id has lost what its hints say it holds.
                 slot->filter.wipe();
