--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -33,7 +33,6 @@
 constexpr double kOriginLateness = 0.25;  // for the origin, whose answer comes on top of a miss
 constexpr double kLatenessMost = 0.7;     // and no more than this, however slow a cache is when idle
 constexpr Nanos kLeastSilence = 20 * kMillisecond;  // shorter ones come with any few commands
-constexpr double kOpening = 12;  // relays that all routers together have at a cache when they start
 constexpr int kFewAnswers = 32;
 constexpr Nanos kShareMemory = 2 * kSecond;  // over which a customer's use is weighed
 
@@ -158,7 +157,9 @@
         if (lateness > wanted && usual > proof * wanted)
             cut(now, std::max(spent, static_cast<Nanos>(usual * static_cast<double>(goal))), 0.85);
         else if (out + 1 >= std::floor(size) * 0.75)
-            size += cutAt == 0 ? 0.5 : 0.5 / std::max(size, 2.0);
+            // Well under the line there is no jam to run back into: a window comes back from a deep cut in
+            // seconds.
+            size += cutAt == 0 ? 0.5 : (usual < 0.6 * wanted ? 1.5 : 0.5) / std::max(size, 2.0);
         // With many routers even one relay each is too much: a size under one is kept by waiting between.
         nextAt = size < 1 ? now + static_cast<Nanos>(spent * (1 / size - 1)) : 0;
     }
@@ -656,10 +657,7 @@
                 slot->origin = terms.aside && e.shape == terms.originShape;
                 if (slot->origin) slot->window.least = slot->window.shared = kOriginLateness;
                 (slot->origin ? origins : fleet).push_back(slot.get());
-                // What all routers together open with must not grow with their number, or queues start full.
-                slot->window.size = std::clamp(kOpening / terms.routers, 1.0, 4.0);
-                if (e.cameUp > 0 && now - e.cameUp < terms.ramp)
-                    slot->window.size = std::min(slot->window.size, 2.0);
+                if (e.cameUp > 0 && now - e.cameUp < terms.ramp) slot->window.size = 2;
             } else if (e.cameUp > slot->cameUp) {
                 // Departure: a cache restarted under its old id has lost what its hints say it holds.
                 slot->filter.wipe();
