--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -157,9 +157,7 @@
         if (lateness > wanted && usual > proof * wanted)
             cut(now, std::max(spent, static_cast<Nanos>(usual * static_cast<double>(goal))), 0.85);
         else if (out + 1 >= std::floor(size) * 0.75)
-            // Well under the line there is no jam to run back into: a window comes back from a deep cut in
-            // seconds.
-            size += cutAt == 0 ? 0.5 : (usual < 0.6 * wanted ? 1.5 : 0.5) / std::max(size, 2.0);
+            size += cutAt == 0 ? 0.5 : 0.5 / std::max(size, 2.0);
         // With many routers even one relay each is too much: a size under one is kept by waiting between.
         nextAt = size < 1 ? now + static_cast<Nanos>(spent * (1 / size - 1)) : 0;
     }
