--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -145,8 +145,7 @@
         // nothing queues, while a queue delays all that is answered.
         lateness = lateness == 0 ? part : std::max(0.01, lateness * (part > lateness ? 1.1 : 0.9));
         // A slow machine may need most of the goal when idle: only what lies well over that is a queue.
-        // Read by slower steps: the least value of a nervous median lies far under what idle caches really
-        // take.
+        // Read by slower steps: the least value of a nervous median lies far under what idle caches take.
         usual = usual == 0 ? part : std::max(0.01, usual * (part > usual ? 1.02 : 0.98));
         if (++seen == kFewAnswers) idle = usual;
         idle = std::min(idle * 1.0002, usual);
@@ -154,7 +153,7 @@
         // that know of a longer idle time would starve the rest.
         const double wanted = std::clamp(2 * idle, least, kLatenessMost) + shared / std::max(size, 0.5);
         // Both medians: the quick one alone wanders over the line where hits and misses mix.
-        if (lateness > wanted && usual > proof * wanted)
+        if (lateness > wanted && usual > 0.6 * wanted)
             cut(now, std::max(spent, static_cast<Nanos>(usual * static_cast<double>(goal))), 0.85);
         else if (out + 1 >= std::floor(size) * 0.75)
             size += cutAt == 0 ? 0.5 : 0.5 / std::max(size, 2.0);
@@ -162,7 +161,6 @@
         nextAt = size < 1 ? now + static_cast<Nanos>(spent * (1 / size - 1)) : 0;
     }
 
-    double proof;       // part of it that the slower median must be over as well
     double least;       // lateness below which nothing is held to queue
     double shared = 0;  // what a window of one bears above that
     double size = 4;
@@ -188,7 +186,7 @@
     bool origin = false;
 
     Filter filter;
-    Window window{0.6, kLatenessWanted};
+    Window window{kLatenessWanted};
     double credit = 2;  // further relays it may take; its answers earn them
     Decaying endings{kMemory};
     Decaying failures{kMemory};
@@ -236,11 +234,10 @@
 
 struct Router::Inside {
     Inside(Terms given, Host& host, Nanos now)
-        : terms(std::move(given)), host(host), chance(), startedAt(now), swapAt(now) {
+        : terms(std::move(given)), host(host), startedAt(now), swapAt(now + kGeneration) {
         std::seed_seq seed{static_cast<std::uint32_t>(terms.seed),
                            static_cast<std::uint32_t>(terms.seed >> 32)};
         chance.seed(seed);
-        swapAt = now + kGeneration;
         for (const Customer& c : terms.customers) usages.push_back(std::make_unique<Usage>(Usage{&c}));
         // Spread: routers restarted together would otherwise ask discovery in the same moment.
         askAt = terms.listOnRequest ? now + spread(std::min(terms.askWithin / 8, kSecond)) : kNever;
@@ -303,8 +300,7 @@
         return cmd.candidates;
     }
 
-    // Routers that each keep to their part keep the sum: the warm pace is this router's own part of the
-    // fleet's.
+    // Routers that each keep to their part keep the sum: the warm pace is this router's part of the fleet's.
     bool coldBudgetLeft(Cache& c, Nanos now) {
         const double w = warmth(c, now);
         if (w >= 1) return true;
@@ -327,8 +323,7 @@
     Cache* ordinary(Command& cmd, Nanos now) {
         const std::vector<Cache*>& candidates = candidatesFor(cmd, now);
         const double busy = std::max(kYieldFloor, kYieldMargin * meanOut);
-        // Silence yields too: behind one heavy command on a connection, or in a hang, the next would only
-        // wait.
+        // Silence yields too: behind a heavy command on a connection, or in a hang, the next would only wait.
         const Nanos silence = std::max(3 * typical(now), kLeastSilence);
         const auto yields = [&](const Cache& c) {
             return c.window.out >= busy || (c.window.out > 0 && now - c.heardAt > silence);
@@ -336,7 +331,6 @@
         Cache* yielding = nullptr;
         bool hold = false;
         for (const bool hinted : {true, false}) {
-            if (hold) return yielding;
             for (std::size_t i = 0; i < std::min(candidates.size(), kCandidates); ++i) {
                 Cache* c = candidates[i];
                 if (c->filter.holds(cmd.key) != hinted) continue;
@@ -346,13 +340,12 @@
                 } else if (hinted && !cmd.failedBefore && !yields(*c) &&
                            !c->window.open(now, cmd.beyondShare)) {
                     // Full like all the others: a miss elsewhere would cost the fleet, the origin and their
-                    // memory more than the wait. Only one that is worse off than its like sends its keys
-                    // away.
+                    // memory more than the wait. Only one worse off than its like sends its keys away.
                     hold = hold || 2 * c->window.size >= meanWindow;
                 }
             }
+            if (hold) return yielding;
         }
-        if (hold) return yielding;
         if (candidates.size() > kCandidates) {
             Cache* c = candidates[kCandidates];
             if (room(cmd, *c, now) && (!yielding || c->filter.holds(cmd.key)) && !yields(*c)) return c;
@@ -739,7 +732,7 @@
     Decaying answers{kMemory};
     Decaying answerTime{kMemory};
     std::uint64_t fleetState = 1;
-    Window whole{0.6, kLatenessWanted};  // over all caches
+    Window whole{kLatenessWanted};  // over all caches
     double meanOut = 0;
     double meanWindow = 0;
     double warmPace = 0;  // relays in a span that a warm cache of size 1 takes from this router
