Absurd reports are bounded; times out of range and a clock that goes back are refused

Found by mutated transcripts under the sanitizers: a MARK in the past made the rate of answers overflow.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -140,7 +140,10 @@
     }
 
     void learn(Nanos now, Nanos spent, Nanos goal) {
-        const double part = static_cast<double>(spent) / static_cast<double>(std::max<Nanos>(goal, 1));
+        // Bounded: one absurd report must not throw the medians and the waits off for good.
+        goal = std::max(goal, kMillisecond);
+        spent = std::clamp<Nanos>(spent, 0, 4 * goal);
+        const double part = static_cast<double>(spent) / static_cast<double>(goal);
         // Steps towards the median: a few suddenly heavy commands would move a mean and cut windows where
         // nothing queues, while a queue delays all that is answered.
         lateness = lateness == 0 ? part : std::max(0.01, lateness * (part > lateness ? 1.1 : 0.9));
@@ -458,12 +461,12 @@
         if (c.trialsLeft > 0 && --c.trialsLeft == 0) c.asideFor = kSecond;
     }
 
-    void learn(Cache& c, const Command& cmd, const RelayEnd& end, Nanos now) {
-        switch (end.ending) {
+    void learn(Cache& c, const Command& cmd, Ending ending, Nanos spent, Nanos now) {
+        switch (ending) {
             case Ending::answered:
-                return learnAnswer(c, cmd, now, end.spent);
+                return learnAnswer(c, cmd, now, spent);
             case Ending::noneHere:
-                learnTime(c, cmd, now, end.spent);
+                learnTime(c, cmd, now, spent);
                 return c.endings.add(now, 1);
             case Ending::undone:
             case Ending::notSent:
@@ -472,8 +475,8 @@
                 return c.window.cut(now, typical(now), 0.7);
             case Ending::timedOut:
                 // Sent with hardly any time left, it proves nothing of the cache.
-                if (end.spent < cmd.verb->goal / 2) return;
-                learnTime(c, cmd, now, end.spent);
+                if (spent < cmd.verb->goal / 2) return;
+                learnTime(c, cmd, now, spent);
                 break;
             case Ending::noRoute:
             case Ending::cut:
@@ -699,7 +702,7 @@
         if (!from.origin) --whole.out;
         if (from.origin && cmd.atCold) --coldFetches;
         if (end.ending == Ending::noneHere && warmth(from, now) < 1) cmd.atCold = true;
-        learn(from, cmd, end, now);
+        learn(from, cmd, end.ending, end.spent, now);
         registerEnd(cmd, from, end.ending);
         if (end.over || end.ending == Ending::answered) cmd.closed = true;
         if (cmd.closed) {
--- a/src/simhost/main.cpp
+++ b/src/simhost/main.cpp
@@ -30,7 +30,9 @@
         line_.split(text_);
         if (line_.kind() != Kind::mark)
             throw Malformed("a batch must start with MARK, not " + std::string(line_.word()));
-        now_ = line_.time("simTimeUs");
+        const Nanos now = line_.time("simTimeUs");
+        if (now < now_) throw Malformed("MARK goes backwards in time");
+        now_ = now;
         touched_.clear();
         for (;;) {
             next(in);
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::int64_t kNanosPerMicro = 1000;
+constexpr std::int64_t kLongestMicros = 1'000'000'000'000;  // a setting's time span: eleven days
+// Far past any clock, and a few of them still add up without overflow.
+constexpr std::int64_t kMostMicros = std::numeric_limits<std::int64_t>::max() / kNanosPerMicro / 8;
 
 template <class T, std::size_t N>
 const T* lookUp(const std::array<std::pair<std::string_view, T>, N>& words, std::string_view word) {
@@ -79,9 +82,7 @@
         throw Malformed("CONFIGURE: setting " + path + " is not a whole number in its range");
     }
     bool has(const std::string& path) const { return values_.contains(path); }
-    Nanos time(const std::string& path) const {
-        return whole(path, std::numeric_limits<std::int64_t>::max() / kNanosPerMicro) * kNanosPerMicro;
-    }
+    Nanos time(const std::string& path) const { return whole(path, kLongestMicros) * kNanosPerMicro; }
     bool yes(const std::string& path) const {
         const auto value = text(path);
         if (value == "true" || value == "1") return true;
@@ -161,8 +162,7 @@
 }
 
 Nanos Line::toNanos(std::int64_t micros, std::string_view name) const {
-    constexpr auto most = std::numeric_limits<std::int64_t>::max() / kNanosPerMicro / 4;
-    if (micros > most || micros < -most) fail("has a time out of range", name);
+    if (micros > kMostMicros || micros < 0) fail("has a time out of range", name);
     return micros * kNanosPerMicro;
 }
 
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -30,6 +30,13 @@
                          "CONFIGURE: missing setting replicasOfMe", Malformed);
 }
 
+TEST_CASE("times that could overflow or lie before the clock's start are refused") {
+    CHECK_THROWS_AS(readRelayEnd(lineOf("VERDICT\tref=0123456789abcdef\tverdict=pass\tspentUs=-1")),
+                    Malformed);
+    CHECK_THROWS_AS(readEntry(lineOf("ENTRY\tserver=a\tavailability=1\tcameUpUs=4611686018427387904")),
+                    Malformed);
+}
+
 TEST_CASE("unknown fields are ignored and bits are read as bits") {
     const Line line = lineOf("ACCEPT\twho=3\tnew=x\tref=00000000000000ff\tprofile=p\tnotAfterUs=7\tbits=5");
     const Arrival arrival = readArrival(line);
