--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -304,3 +304,12 @@
     for (int i = 0; i < 30; ++i) last = w.ask(++id, "n" + std::to_string(i));
     CHECK(last == "declined");
 }
+
+TEST_CASE("a router that saw the origin idle isn't starved by others that keep it busy") {
+    World w(true);
+    CommandId id = 0;
+    for (int i = 0; i < 140; ++i, w.now += 400 * ms)
+        if (w.ask(++id, "k", "read", true) == "origin")
+            w.end(id, 0, Ending::answered, true, i < 40 ? 40 * ms : 200 * ms);
+    CHECK(w.ask(++id, "k", "read", true) == "origin");
+}
