--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -536,9 +536,6 @@
             return;
         }
         if (auto it = fetches.find(cmd.key); it != fetches.end() && it->second == &cmd) fetches.erase(it);
-        // Again when it has been carried out: hits while it was out registered what it has voided since.
-        if (cmd.write)
-            for (Cache* c : fleet) c->filter.clear(cmd.key);
         for (Cache* c : cmd.lacking)
             if (answered && !cmd.write && cmd.keyed)
                 c->filter.enter(cmd.key);
