--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -293,7 +293,7 @@
         for (Cache* c : fleet) {
             if (!usable(*c, now)) continue;
             const double u = (static_cast<double>(mix(cmd.key ^ c->hash) >> 11) + 0.5) * 0x1p-53;
-            std::pair<double, Cache*> entry{std::max(c->size, 1e-9) * warmth(*c, now) / -std::log(u), c};
+            std::pair<double, Cache*> entry{c->size * warmth(*c, now) / -std::log(u), c};
             for (auto& b : best)
                 if (!b.second || entry.first > b.first) std::swap(b, entry);
         }
@@ -308,7 +308,7 @@
         const double w = warmth(c, now);
         if (w >= 1) return true;
         // Half, since a sum that decays over the span can let through twice its bound within one span.
-        return c.sentLately.read(now) < 0.5 * terms.tipMultiple * w * warmPace * std::max(c.size, 1e-9);
+        return c.sentLately.read(now) < 0.5 * terms.tipMultiple * w * warmPace * c.size;
     }
 
     bool room(const Command& cmd, Cache& c, Nanos now) {
@@ -626,7 +626,7 @@
                 changed = true;
             } else {
                 warmSent += c->sentLately.read(now);
-                warmSize += std::max(c->size, 1e-9);
+                warmSize += c->size;
             }
         }
         // With no warm cache left, what they last took still tells what one of that size can take.
@@ -661,7 +661,8 @@
             slot->cell = e.cell;
             slot->presence = e.presence;
             slot->cameUp = e.cameUp;
-            slot->size = e.size;
+            slot->size =
+                std::max(e.size, 1e-9);  // listed without a size, it still has its place in the order
         }
         ++fleetState;
         if (whole.cutAt == 0)
