--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -20,7 +20,7 @@
 
 constexpr int kEntries = 4;                  // hint entries a key, of the source's 3 to 6
 constexpr std::size_t kCountersPerKey = 16;  // a quarter full at four entries: about 0.4% false hits
-constexpr std::size_t kLeastCounters = 1 << 10;
+constexpr std::size_t kLeastCounters = 1 << 8;
 constexpr std::size_t kMostCounters = 10 << 20;  // the source's largest hint space
 constexpr Nanos kGeneration = 10 * kSecond;
 constexpr std::size_t kCandidates = 2;
@@ -68,33 +68,52 @@
     Nanos at_ = 0;
 };
 
-struct Generation {
-    explicit Generation(std::size_t counters) : counters(counters, 0) {}
+// One Bloom filter of counters, for as many keys as its size is meant for.
+struct Counters {
+    explicit Counters(std::size_t size) : counts(size, 0) {}
 
     template <class Visit>
     bool each(std::uint64_t key, Visit visit) const {
         const std::uint64_t step = mix(key ^ 0x9e3779b97f4a7c15ULL) | 1;
         for (int i = 0; i < kEntries; ++i)
-            if (!visit((key + static_cast<std::uint64_t>(i) * step) & (counters.size() - 1))) return false;
+            if (!visit((key + static_cast<std::uint64_t>(i) * step) & (counts.size() - 1))) return false;
         return true;
     }
     bool holds(std::uint64_t key) const {
-        return each(key, [&](std::size_t at) { return counters[at] != 0; });
+        return each(key, [&](std::size_t at) { return counts[at] != 0; });
+    }
+    bool full() const {
+        return keys * static_cast<std::int64_t>(kCountersPerKey) >= static_cast<std::int64_t>(counts.size());
     }
     void enter(std::uint64_t key) {
-        each(key, [&](std::size_t at) { return counters[at] += counters[at] != 255, true; });
+        each(key, [&](std::size_t at) { return counts[at] += counts[at] != 255, true; });
         ++keys;
     }
     // A saturated counter has lost its count: counting it down would unregister keys that are still held.
     void remove(std::uint64_t key) {
-        each(key, [&](std::size_t at) { return counters[at] -= counters[at] != 255, true; });
+        each(key, [&](std::size_t at) { return counts[at] -= counts[at] != 255, true; });
         --keys;
     }
 
-    std::vector<std::uint8_t> counters;
+    std::vector<std::uint8_t> counts;
     std::int64_t keys = 0;
 };
 
+// Takes no memory before the first key, and doubles by a further block when full: most routers of a large
+// fleet hold a key or two at each cache, and sizes set for a busy one filled the machine.
+struct Generation {
+    bool holds(std::uint64_t key) const {
+        return std::any_of(blocks.begin(), blocks.end(), [&](const Counters& c) { return c.holds(key); });
+    }
+    void enter(std::uint64_t key) {
+        if (blocks.empty() || (blocks.back().full() && blocks.back().counts.size() < kMostCounters / 4))
+            blocks.emplace_back(blocks.empty() ? kLeastCounters : 2 * blocks.back().counts.size());
+        blocks.back().enter(key);
+    }
+
+    std::vector<Counters> blocks;
+};
+
 class Filter {
   public:
     bool holds(std::uint64_t key) const { return current_.holds(key) || previous_.holds(key); }
@@ -103,25 +122,18 @@
     }
     void clear(std::uint64_t key) {
         for (Generation* g : {&current_, &previous_})
-            if (g->holds(key)) g->remove(key);
+            for (Counters& block : g->blocks)
+                if (block.holds(key)) block.remove(key);
     }
-    void wipe() {
-        current_ = Generation(current_.counters.size());
-        previous_ = Generation(kLeastCounters);
-    }
-    // Sized by what the last generation took in, so that a scan crowds one generation and not the next.
+    void wipe() { current_ = previous_ = {}; }
     void swap() {
-        std::size_t counters = kLeastCounters;
-        const auto wanted =
-            static_cast<std::size_t>(std::max<std::int64_t>(current_.keys, 0)) * kCountersPerKey;
-        while (counters < wanted && counters < kMostCounters / 2) counters *= 2;
         previous_ = std::move(current_);
-        current_ = Generation(counters);
+        current_ = {};
     }
 
   private:
-    Generation current_{kLeastCounters * 4};
-    Generation previous_{kLeastCounters};
+    Generation current_;
+    Generation previous_;
 };
 
 // How many relays may be out, learnt from how answers fare against their goals.
@@ -208,6 +220,12 @@
     Standing standing;
 };
 
+struct Ranked {
+    std::uint64_t hash;
+    double weight;
+    Cache* cache;
+};
+
 struct Usage {
     const Customer* customer;
     Decaying sent{kShareMemory};
@@ -229,15 +247,19 @@
     Nanos giveUpAt = 0;
     std::vector<Relay> relays;
     std::vector<Cache*> lacking;
-    std::vector<Cache*> candidates;
-    std::uint64_t candidatesOf = 0;  // the fleet's state that they were worked out for
+    std::array<Cache*, kMostCandidates> candidates{};  // as many as are usable, in rendezvous order
+    std::uint64_t candidatesOf = 0;                    // the fleet's state that they were worked out for
 };
 
 }  // namespace
 
 struct Router::Inside {
     Inside(Terms given, Host& host, Nanos now)
-        : terms(std::move(given)), host(host), startedAt(now), swapAt(now + kGeneration) {
+        : terms(std::move(given)),
+          host(host),
+          warmSent(std::max<Nanos>(terms.fallSpan, 1)),
+          startedAt(now),
+          swapAt(now + kGeneration) {
         std::seed_seq seed{static_cast<std::uint32_t>(terms.seed),
                            static_cast<std::uint32_t>(terms.seed >> 32)};
         chance.seed(seed);
@@ -261,10 +283,6 @@
         return n < 0.5 ? 0 : static_cast<Nanos>(answerTime.read(now) / n);
     }
 
-    bool usable(const Cache& c, Nanos now) const {
-        return c.presence == Presence::ready && !c.origin && c.asideUntil <= now;
-    }
-
     // The one test of what may still be done with a command; `to` is null for a decline. It guards against an
     // effect happening twice and against telling a client that a retry is harmless when it is not.
     bool legal(const Command& cmd, const Cache* to, Nanos now) const {
@@ -286,20 +304,45 @@
         return inGroup && now - mayHaveRun->sentAt < cmd.verb->remembered;
     }
 
-    const std::vector<Cache*>& candidatesFor(Command& cmd, Nanos now) {
+    // What the choice of candidates reads of the fleet, side by side and worked out once for each state of it:
+    // going through every cache for every command cost more than all else at a hundred caches.
+    void survey(Nanos now) {
+        surveyed = fleetState;
+        ranked.clear();
+        double windows = 0;
+        warmSize = 0;
+        surveyUntil = kNever;
+        for (Cache* c : fleet) {
+            if (c->presence != Presence::ready) continue;
+            const double w = warmth(*c, now);
+            if (w < 1)
+                surveyUntil = std::min(surveyUntil, now + std::max(terms.ramp / 32, kMillisecond));
+            else
+                warmSize += c->size;
+            if (c->asideUntil > now) {
+                surveyUntil = std::min(surveyUntil, c->asideUntil);
+                continue;
+            }
+            ranked.push_back({c->hash, c->size * w, c});
+            windows += c->window.size;
+        }
+        meanWindow = ranked.empty() ? 0 : windows / static_cast<double>(ranked.size());
+    }
+
+    const auto& candidatesFor(Command& cmd, Nanos now) {
+        if (surveyed != fleetState) survey(now);
         if (cmd.candidatesOf == fleetState) return cmd.candidates;
         cmd.candidatesOf = fleetState;
         std::array<std::pair<double, Cache*>, kMostCandidates> best{};
-        for (Cache* c : fleet) {
-            if (!usable(*c, now)) continue;
-            const double u = (static_cast<double>(mix(cmd.key ^ c->hash) >> 11) + 0.5) * 0x1p-53;
-            std::pair<double, Cache*> entry{c->size * warmth(*c, now) / -std::log(u), c};
+        for (const Ranked& r : ranked) {
+            const double u = (static_cast<double>(mix(cmd.key ^ r.hash) >> 11) + 0.5) * 0x1p-53;
+            // Since -log(u) is at least 1 - u, most are known to score too little without the logarithm.
+            if (r.weight <= best.back().first * (1 - u)) continue;
+            std::pair<double, Cache*> entry{r.weight / -std::log(u), r.cache};
             for (auto& b : best)
                 if (!b.second || entry.first > b.first) std::swap(b, entry);
         }
-        cmd.candidates.clear();
-        for (const auto& b : best)
-            if (b.second) cmd.candidates.push_back(b.second);
+        for (std::size_t i = 0; i < best.size(); ++i) cmd.candidates[i] = best[i].second;
         return cmd.candidates;
     }
 
@@ -307,6 +350,8 @@
     bool coldBudgetLeft(Cache& c, Nanos now) {
         const double w = warmth(c, now);
         if (w >= 1) return true;
+        // With no warm cache left, what they last took still tells what one of that size can take.
+        if (warmSize > 0) warmPace = warmSent.read(now) / warmSize;
         // Half, since a sum that decays over the span can let through twice its bound within one span.
         return c.sentLately.read(now) < 0.5 * terms.tipMultiple * w * warmPace * c.size;
     }
@@ -324,8 +369,9 @@
 
     // The mechanism: the hinted candidate, else rendezvous order, and one that is too busy yields.
     Cache* ordinary(Command& cmd, Nanos now) {
-        const std::vector<Cache*>& candidates = candidatesFor(cmd, now);
-        const double busy = std::max(kYieldFloor, kYieldMargin * meanOut);
+        const auto& candidates = candidatesFor(cmd, now);
+        const double mean = whole.out / std::max(1.0, static_cast<double>(ranked.size()));
+        const double busy = std::max(kYieldFloor, kYieldMargin * mean);
         // Silence yields too: behind a heavy command on a connection, or in a hang, the next would only wait.
         const Nanos silence = std::max(3 * typical(now), kLeastSilence);
         const auto yields = [&](const Cache& c) {
@@ -334,9 +380,9 @@
         Cache* yielding = nullptr;
         bool hold = false;
         for (const bool hinted : {true, false}) {
-            for (std::size_t i = 0; i < std::min(candidates.size(), kCandidates); ++i) {
+            for (std::size_t i = 0; i < kCandidates; ++i) {
                 Cache* c = candidates[i];
-                if (c->filter.holds(cmd.key) != hinted) continue;
+                if (!c || c->filter.holds(cmd.key) != hinted) continue;
                 if (room(cmd, *c, now)) {
                     if (!yields(*c)) return c;
                     if (!yielding) yielding = c;
@@ -349,17 +395,16 @@
             }
             if (hold) return yielding;
         }
-        if (candidates.size() > kCandidates) {
-            Cache* c = candidates[kCandidates];
+        if (Cache* c = candidates[kCandidates]) {
             if (room(cmd, *c, now) && (!yielding || c->filter.holds(cmd.key)) && !yields(*c)) return c;
         }
         return yielding;
     }
 
     bool hintedSomewhere(Command& cmd, Nanos now) {
-        const std::vector<Cache*>& candidates = candidatesFor(cmd, now);
+        const auto& candidates = candidatesFor(cmd, now);
         return std::any_of(candidates.begin(), candidates.end(),
-                           [&](const Cache* c) { return c->filter.holds(cmd.key); });
+                           [&](const Cache* c) { return c && c->filter.holds(cmd.key); });
     }
 
     Cache* originFor(Command& cmd, Nanos now) {
@@ -383,7 +428,7 @@
         const bool lastRelay = static_cast<int>(cmd.relays.size()) + 1 >= terms.maxRelays;
         const bool hinted = !lastRelay && hintedSomewhere(cmd, now);
         if (!hinted && fetches.contains(cmd.key)) return {nullptr, true};
-        if (hinted || (cmd.lacking.empty() && !cmd.candidates.empty() && !lastRelay))
+        if (hinted || (cmd.lacking.empty() && cmd.candidates[0] && !lastRelay))
             return {ordinary(cmd, now), false};
         return {originFor(cmd, now), false};
     }
@@ -410,7 +455,7 @@
         cmd.relays.push_back({&to, now, Standing::out});
         if (to.window.out++ == 0) to.heardAt = now;
         if (!to.origin) ++whole.out;
-        to.sentLately.add(now, 1);
+        if (!to.origin) (warmth(to, now) < 1 ? to.sentLately : warmSent).add(now, 1);
     }
 
     void finish(Command& cmd, Nanos now) {
@@ -492,7 +537,9 @@
 
     // Against the fleet's median, so that what ails all of them is held against none.
     void judge(Cache& c, Nanos now) {
-        if (c.origin || c.asideUntil > now) return;
+        const double n = c.endings.read(now);
+        const double f = c.failures.read(now);
+        if (c.origin || c.asideUntil > now || (f <= 1.5 && c.trialsLeft == 0)) return;
         std::vector<double> shares;
         std::size_t ready = 0;
         std::size_t gone = 0;
@@ -500,14 +547,12 @@
             if (other->presence != Presence::ready) continue;
             ++ready;
             if (other->asideUntil > now) ++gone;
-            if (const double n = other->endings.read(now); n >= 0.5)
-                shares.push_back(other->failures.read(now) / n);
+            if (const double of = other->endings.read(now); of >= 0.5)
+                shares.push_back(other->failures.read(now) / of);
         }
         if (shares.empty() || (gone + 1) * 2 > ready) return;
         std::nth_element(shares.begin(), shares.begin() + shares.size() / 2, shares.end());
         const double median = shares[shares.size() / 2];
-        const double n = c.endings.read(now);
-        const double f = c.failures.read(now);
         const double excess = f - median * n;
         // More than chance would give at that median, and enough to matter.
         const bool clear =
@@ -576,7 +621,7 @@
                 const bool roomMayCome = at.waitsForFetch || (!cmd.beyondShare && inReach);
                 const bool barred = cmd.failedBefore ||
                                     static_cast<int>(cmd.relays.size()) >= terms.maxRelays ||
-                                    (cmd.candidates.empty() && origins.empty());
+                                    (!cmd.candidates[0] && origins.empty());
                 if (now < lastStart && roomMayCome && !barred) {
                     wakeWanted = std::min(wakeWanted, std::min(lastStart, now + 25 * kMillisecond));
                     waiting[kept++] = &cmd;
@@ -600,38 +645,10 @@
         }
         for (; now >= swapAt; swapAt += kGeneration)
             for (Cache* c : fleet) c->filter.swap();
-        int out = 0;
-        int ready = 0;
-        double windows = 0;
-        for (Cache* c : fleet)
-            if (usable(*c, now)) {
-                ++ready;
-                out += c->window.out;
-                windows += c->window.size;
-            }
-        meanOut = ready ? static_cast<double>(out) / ready : 0;
-        meanWindow = ready ? windows / ready : 0;
-        if (now < paceAt) return;
-        paceAt = now + 250 * kMillisecond;
-        double warmSent = 0;
-        double warmSize = 0;
-        bool changed = false;
-        for (Cache* c : fleet) {
-            if (c->asideUntil && c->asideUntil <= now) {
-                c->asideUntil = 0;
-                changed = true;
-            }
-            if (c->presence != Presence::ready) continue;
-            if (warmth(*c, now) < 1) {
-                changed = true;
-            } else {
-                warmSent += c->sentLately.read(now);
-                warmSize += c->size;
-            }
+        if (now >= surveyUntil) {
+            ++fleetState;
+            surveyUntil = kNever;
         }
-        // With no warm cache left, what they last took still tells what one of that size can take.
-        if (warmSize > 0) warmPace = warmSent / warmSize;
-        if (changed) ++fleetState;
     }
 
     void news(Nanos now, NewsKind kind, const std::vector<Listed>& entries) {
@@ -737,13 +754,16 @@
     Decaying answerTime{kMemory};
     std::uint64_t fleetState = 1;
     Window whole{kLatenessWanted};  // over all caches
-    double meanOut = 0;
+    std::vector<Ranked> ranked;  // those that may be candidates
+    std::uint64_t surveyed = 0;  // the fleet's state that these were worked out for
+    Nanos surveyUntil = 0;
     double meanWindow = 0;
+    double warmSize = 0;
+    Decaying warmSent;
     double warmPace = 0;  // relays in a span that a warm cache of size 1 takes from this router
     int coldFetches = 0;
     Nanos startedAt;
     Nanos swapAt;
-    Nanos paceAt = 0;
     Nanos askAt = kNever;
     Nanos askAfter = kSecond / 2;
     Nanos wakeAt = 0;
