--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -309,7 +309,8 @@
     void survey(Nanos now) {
         surveyed = fleetState;
         ranked.clear();
-        double windows = 0;
+        windows = 0;
+        if (warmSize > 0) warmPace = warmSent.read(now) / warmSize;
         warmSize = 0;
         surveyUntil = kNever;
         for (Cache* c : fleet) {
@@ -326,7 +327,6 @@
             ranked.push_back({c->hash, c->size * w, c});
             windows += c->window.size;
         }
-        meanWindow = ranked.empty() ? 0 : windows / static_cast<double>(ranked.size());
     }
 
     const auto& candidatesFor(Command& cmd, Nanos now) {
@@ -390,7 +390,7 @@
                            !c->window.open(now, cmd.beyondShare)) {
                     // Full like all the others: a miss elsewhere would cost the fleet, the origin and their
                     // memory more than the wait. Only one worse off than its like sends its keys away.
-                    hold = hold || 2 * c->window.size >= meanWindow;
+                    hold = hold || 2 * c->window.size * static_cast<double>(ranked.size()) >= windows;
                 }
             }
             if (hold) return yielding;
@@ -720,7 +720,9 @@
         if (!from.origin) --whole.out;
         if (from.origin && cmd.atCold) --coldFetches;
         if (end.ending == Ending::noneHere && warmth(from, now) < 1) cmd.atCold = true;
+        const double windowBefore = from.window.size;
         learn(from, cmd, end.ending, end.spent, now);
+        if (!from.origin) windows += from.window.size - windowBefore;
         registerEnd(cmd, from, end.ending);
         if (end.over || end.ending == Ending::answered) cmd.closed = true;
         if (cmd.closed) {
@@ -757,7 +759,7 @@
     std::vector<Ranked> ranked;  // those that may be candidates
     std::uint64_t surveyed = 0;  // the fleet's state that these were worked out for
     Nanos surveyUntil = 0;
-    double meanWindow = 0;
+    double windows = 0;  // the sum of theirs
     double warmSize = 0;
     Decaying warmSent;
     double warmPace = 0;  // relays in a span that a warm cache of size 1 takes from this router
