A cold cache's part of less than one relay goes by chance: fail-back is kept at a thousand routers

Cause: each router rounded its part up to one relay, and took what it sent for what warm caches can do, so that a jam swelled the budget and a thousand routers pushed a cold cache over in the second they heard of it. Change: the part is drawn by chance below one relay, and the pace is what warm caches answered.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -189,7 +189,7 @@
 };
 
 struct Cache {
-    Cache(const std::string& name, Nanos fallSpan) : name(name), hash(hashOf(name)), sentLately(fallSpan) {}
+    explicit Cache(const std::string& name) : name(name), hash(hashOf(name)) {}
 
     std::string name;
     std::string zone;
@@ -205,7 +205,8 @@
     double credit = 2;  // further relays it may take; its answers earn them
     Decaying endings{kMemory};
     Decaying failures{kMemory};
-    Decaying sentLately;
+    double due = 0;  // while cold: relays it may be sent, worked out up to `dueAt`
+    Nanos dueAt = 0;
     Nanos heardAt = 0;     // when a relay last ended there, or the first was sent after none
     Nanos asideUntil = 0;  // set aside for its failures until then
     Nanos asideFor = kSecond;
@@ -257,7 +258,8 @@
     Inside(Terms given, Host& host, Nanos now)
         : terms(std::move(given)),
           host(host),
-          warmSent(std::max<Nanos>(terms.fallSpan, 1)),
+          fallSpan(std::max<Nanos>(terms.fallSpan, 1)),
+          warmDone(fallSpan),
           startedAt(now),
           swapAt(now + kGeneration) {
         std::seed_seq seed{static_cast<std::uint32_t>(terms.seed),
@@ -310,7 +312,7 @@
         surveyed = fleetState;
         ranked.clear();
         windows = 0;
-        if (warmSize > 0) warmPace = warmSent.read(now) / warmSize;
+        if (warmSize > 0) warmPace = warmDone.read(now) / warmSize;
         warmSize = 0;
         surveyUntil = kNever;
         for (Cache* c : fleet) {
@@ -346,14 +348,21 @@
         return cmd.candidates;
     }
 
-    // Routers that each keep to their part keep the sum: the warm pace is this router's part of the fleet's.
+    // Routers that each keep to their part keep the sum: the warm pace is this router's part of what the fleet
+    // answers (what it is sent is swollen in a jam). A part of less than one relay goes by chance: a thousand
+    // routers that round it up to one each push a cold cache over in the second they hear of it.
     bool coldBudgetLeft(Cache& c, Nanos now) {
         const double w = warmth(c, now);
         if (w >= 1) return true;
-        // With no warm cache left, what they last took still tells what one of that size can take.
-        if (warmSize > 0) warmPace = warmSent.read(now) / warmSize;
-        // Half, since a sum that decays over the span can let through twice its bound within one span.
-        return c.sentLately.read(now) < 0.5 * terms.tipMultiple * w * warmPace * c.size;
+        // With no warm cache left, what they last answered still tells what one of that size can.
+        if (warmSize > 0) warmPace = warmDone.read(now) / warmSize;
+        // Half, since what is saved up comes on top within the same span.
+        const double budget = 0.5 * terms.tipMultiple * w * warmPace * c.size;
+        const double since = std::min(1.0, static_cast<double>(now - c.dueAt) / fallSpan);
+        c.due = std::min(c.due + budget * since, std::max(1.0, budget));
+        c.dueAt = now;
+        if (c.due < 1) c.due = chance() / 4294967296.0 < c.due ? 1 : 0;
+        return c.due >= 1;
     }
 
     bool room(const Command& cmd, Cache& c, Nanos now) {
@@ -455,7 +464,7 @@
         cmd.relays.push_back({&to, now, Standing::out});
         if (to.window.out++ == 0) to.heardAt = now;
         if (!to.origin) ++whole.out;
-        if (!to.origin) (warmth(to, now) < 1 ? to.sentLately : warmSent).add(now, 1);
+        to.due -= 1;
     }
 
     void finish(Command& cmd, Nanos now) {
@@ -507,6 +516,8 @@
     }
 
     void learn(Cache& c, const Command& cmd, Ending ending, Nanos spent, Nanos now) {
+        const bool done = ending == Ending::answered || ending == Ending::noneHere;
+        if (done && !c.origin && warmth(c, now) >= 1) warmDone.add(now, 1);
         switch (ending) {
             case Ending::answered:
                 return learnAnswer(c, cmd, now, spent);
@@ -664,7 +675,7 @@
         for (const Listed& e : entries) {
             auto& slot = known[e.name];
             if (!slot) {
-                slot = std::make_unique<Cache>(e.name, std::max<Nanos>(terms.fallSpan, 1));
+                slot = std::make_unique<Cache>(e.name);
                 slot->origin = terms.aside && e.shape == terms.originShape;
                 if (slot->origin) slot->window.least = slot->window.shared = kOriginLateness;
                 (slot->origin ? origins : fleet).push_back(slot.get());
@@ -676,6 +687,7 @@
             }
             slot->zone = e.zone;
             slot->cell = e.cell;
+            if (e.cameUp != slot->cameUp) slot->dueAt = now;
             slot->presence = e.presence;
             slot->cameUp = e.cameUp;
             slot->size =
@@ -761,8 +773,9 @@
     Nanos surveyUntil = 0;
     double windows = 0;  // the sum of theirs
     double warmSize = 0;
-    Decaying warmSent;
-    double warmPace = 0;  // relays in a span that a warm cache of size 1 takes from this router
+    const Nanos fallSpan;
+    Decaying warmDone;
+    double warmPace = 0;  // relays in a span that a warm cache of size 1 answers this router
     int coldFetches = 0;
     Nanos startedAt;
     Nanos swapAt;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -64,6 +64,23 @@
     CHECK(w.ask(3) == home);
 }
 
+TEST_CASE("two hundred quiet routers together push no cold cache over, though one relay each would") {
+    int sent = 0;
+    for (std::uint64_t r = 0; r < 200; ++r) {
+        Terms terms = smallTerms(false);
+        terms.seed = r;
+        terms.routers = 200;
+        World w(terms, 2);
+        for (CommandId id = 1; id <= 6; ++id, w.now += 500 * ms) w.serve(id, std::to_string(id + 10 * r));
+        w.router.news(w.now, NewsKind::whole, {{"cold", "z", "m", Presence::ready, w.now}});
+        w.now += 500 * ms;
+        sent += w.ask(7) == "cold";
+    }
+    // Two warm caches answered 200 a second each; the cold one does a fifth of that, and falls at three times.
+    CHECK(sent > 10);
+    CHECK(sent < 60);
+}
+
 TEST_CASE("a cold cache is sent no more than its budget while its like are warm") {
     World w(false, 2);
     CommandId id = 0;
