Routers open with their part of six relays a cache; small windows grow in proportion

Cause: 1033 routers opened with 334 relays each, a window under one grew by most of itself with one answer, and the slow median of a router with five answers a second took ten seconds to see a jam. Change: the opening is judged times all routers, growth is a fifth of the window at most, few answers take longer steps.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -32,6 +32,7 @@
 constexpr double kLatenessWanted = 0.4;   // of the goal: the spread about the median needs the rest
 constexpr double kOriginLateness = 0.25;  // for the origin, whose answer comes on top of a miss
 constexpr double kLatenessMost = 0.7;     // and no more than this, however slow a cache is when idle
+constexpr double kOpening = 6;            // relays for each cache that all routers together open with
 constexpr Nanos kLeastSilence = 20 * kMillisecond;  // shorter ones come with any few commands
 constexpr int kFewAnswers = 32;
 constexpr Nanos kShareMemory = 2 * kSecond;  // over which a customer's use is weighed
@@ -161,7 +162,10 @@
         lateness = lateness == 0 ? part : std::max(0.01, lateness * (part > lateness ? 1.1 : 0.9));
         // A slow machine may need most of the goal when idle: only what lies well over that is a queue.
         // Read by slower steps: the least value of a nervous median lies far under what idle caches take.
-        usual = usual == 0 ? part : std::max(0.01, usual * (part > usual ? 1.02 : 0.98));
+        // A router with a few answers a second takes longer steps, or it would see a jam only when it is over.
+        const double step = std::clamp(static_cast<double>(now - learntAt) / (2 * kSecond), 0.02, 0.1);
+        learntAt = now;
+        usual = usual == 0 ? part : std::max(0.01, usual * (part > usual ? 1 + step : 1 - step));
         if (++seen == kFewAnswers) idle = usual;
         idle = std::min(idle * 1.0002, usual);
         // At the origin all routers queue together: the fewer a router has there the more it bears, or those
@@ -171,7 +175,7 @@
         if (lateness > wanted && usual > 0.6 * wanted)
             cut(now, std::max(spent, static_cast<Nanos>(usual * static_cast<double>(goal))), 0.85);
         else if (out + 1 >= std::floor(size) * 0.75)
-            size += cutAt == 0 ? 0.5 : 0.5 / std::max(size, 2.0);
+            size += std::min(cutAt == 0 ? 0.5 : 0.5 / std::max(size, 2.0), 0.2 * size);
         // With many routers even one relay each is too much: a size under one is kept by waiting between.
         nextAt = size < 1 ? now + static_cast<Nanos>(spent * (1 / size - 1)) : 0;
     }
@@ -186,6 +190,7 @@
     int out = 0;
     Nanos cutAt = 0;
     Nanos nextAt = 0;
+    Nanos learntAt = 0;
 };
 
 struct Cache {
@@ -694,8 +699,9 @@
                 std::max(e.size, 1e-9);  // listed without a size, it still has its place in the order
         }
         ++fleetState;
-        if (whole.cutAt == 0)
-            whole.size = std::max({whole.size, 8.0, 2.0 * static_cast<double>(fleet.size())});
+        // Judged times all routers: a thousand that open with a few relays each start the day in a jam.
+        const double part = kOpening * static_cast<double>(fleet.size()) / terms.routers;
+        if (whole.cutAt == 0) whole.size = std::max(part, whole.size);
     }
 
     void arrival(Nanos now, const Arrival& a) {
@@ -767,7 +773,7 @@
     Decaying answers{kMemory};
     Decaying answerTime{kMemory};
     std::uint64_t fleetState = 1;
-    Window whole{kLatenessWanted};  // over all caches
+    Window whole{kLatenessWanted, 0, 1};  // over all caches
     std::vector<Ranked> ranked;  // those that may be candidates
     std::uint64_t surveyed = 0;  // the fleet's state that these were worked out for
     Nanos surveyUntil = 0;
