A cache whose few endings were late or failed yields as a busy one does; held answers teach nothing

Cause: of a few relays a second hardly two are ever out at one cache, so the yield by relays in flight never acts in a router of a large fleet, and slow or hot caches kept their keys. With few routers, one heavy command on a connection let a row of late answers go at once, which closed windows where nothing queued. Told from others: slow caches answered in 0.8 s beside 0.1 s elsewhere and were still sent their full share. Change: what the few endings at a cache took, beside one at the fleet's usual, makes it yield; endings in the moment of another at that cache are passed over.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -208,11 +208,14 @@
     Filter filter;
     Window window{kLatenessWanted};
     double credit = 2;  // further relays it may take; its answers earn them
+    Decaying heard{kMemory};     // endings of all kinds
+    Decaying lateness{kMemory};  // and their sum of parts of the goal
     Decaying endings{kMemory};
     Decaying failures{kMemory};
     double due = 0;  // while cold: relays it may be sent, worked out up to `dueAt`
     Nanos dueAt = 0;
-    Nanos heardAt = 0;     // when a relay last ended there, or the first was sent after none
+    Nanos endedAt = 0;     // when a relay last ended there
+    Nanos heardAt = 0;     // or the first was sent after none
     Nanos asideUntil = 0;  // set aside for its failures until then
     Nanos asideFor = kSecond;
     int trialsLeft = 0;  // answers it owes before it counts as recovered
@@ -388,8 +391,15 @@
         const double busy = std::max(kYieldFloor, kYieldMargin * mean);
         // Silence yields too: behind a heavy command on a connection, or in a hang, the next would only wait.
         const Nanos silence = std::max(3 * typical(now), kLeastSilence);
-        const auto yields = [&](const Cache& c) {
-            return c.window.out >= busy || (c.window.out > 0 && now - c.heardAt > silence);
+        // Of few relays hardly two are ever out at once, so a quiet router would never see a cache as busy. What
+        // its few endings there took tells the same; one at the fleet's usual is assumed beside them, and they
+        // are forgotten, so that it is tried again.
+        const auto late = [&](Cache& c) {
+            return (c.lateness.read(now) + whole.usual) / (c.heard.read(now) + 1) >
+                   std::max(kLatenessWanted, kYieldMargin * whole.usual);
+        };
+        const auto yields = [&](Cache& c) {
+            return c.window.out >= busy || (c.window.out > 0 && now - c.heardAt > silence) || late(c);
         };
         Cache* yielding = nullptr;
         bool hold = false;
@@ -511,8 +521,7 @@
         whole.learn(now, static_cast<Nanos>(static_cast<double>(spent) * scale), cmd.verb->goal);
     }
 
-    void learnAnswer(Cache& c, const Command& cmd, Nanos now, Nanos spent) {
-        learnTime(c, cmd, now, spent);
+    void learnAnswer(Cache& c, Nanos now, Nanos spent) {
         c.credit = std::min(c.credit + 0.2, 10.0);
         answers.add(now, 1);
         answerTime.add(now, static_cast<double>(spent));
@@ -520,14 +529,19 @@
         if (c.trialsLeft > 0 && --c.trialsLeft == 0) c.asideFor = kSecond;
     }
 
-    void learn(Cache& c, const Command& cmd, Ending ending, Nanos spent, Nanos now) {
+    void learn(Cache& c, const Command& cmd, Ending ending, Nanos spent, Nanos now, bool behindAnother) {
         const bool done = ending == Ending::answered || ending == Ending::noneHere;
         if (done && !c.origin && warmth(c, now) >= 1) warmDone.add(now, 1);
+        const double part = static_cast<double>(spent) / static_cast<double>(std::max(cmd.verb->goal, kMillisecond));
+        if (!behindAnother) {
+            c.heard.add(now, 1);
+            c.lateness.add(now, done || ending == Ending::timedOut ? std::clamp(part, 0.0, 2.0) : 1);
+            if (done || (ending == Ending::timedOut && spent >= cmd.verb->goal / 2)) learnTime(c, cmd, now, spent);
+        }
         switch (ending) {
             case Ending::answered:
-                return learnAnswer(c, cmd, now, spent);
+                return learnAnswer(c, now, spent);
             case Ending::noneHere:
-                learnTime(c, cmd, now, spent);
                 return c.endings.add(now, 1);
             case Ending::undone:
             case Ending::notSent:
@@ -537,7 +551,6 @@
             case Ending::timedOut:
                 // Sent with hardly any time left, it proves nothing of the cache.
                 if (spent < cmd.verb->goal / 2) return;
-                learnTime(c, cmd, now, spent);
                 break;
             case Ending::noRoute:
             case Ending::cut:
@@ -734,12 +747,15 @@
         relay.standing = end.ending >= Ending::noRoom ? Standing::neverRan : Standing::mayHaveRun;
         Cache& from = *relay.to;
         --from.window.out;
-        from.heardAt = now;
+        // Where answers on a connection come in order, one heavy command lets the rest go in its own moment:
+        // their times tell of it, not of a queue at the cache.
+        const bool behindAnother = from.endedAt == now;
+        from.endedAt = from.heardAt = now;
         if (!from.origin) --whole.out;
         if (from.origin && cmd.atCold) --coldFetches;
         if (end.ending == Ending::noneHere && warmth(from, now) < 1) cmd.atCold = true;
         const double windowBefore = from.window.size;
-        learn(from, cmd, end.ending, end.spent, now);
+        learn(from, cmd, end.ending, end.spent, now, behindAnother);
         if (!from.origin) windows += from.window.size - windowBefore;
         registerEnd(cmd, from, end.ending);
         if (end.over || end.ending == Ending::answered) cmd.closed = true;
