Customers are weighed over ten seconds since the start

Cause: two seconds hold ten commands of a quiet router, in which three times a share is within chance.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -35,7 +35,9 @@
 constexpr double kOpening = 6;            // relays for each cache that all routers together open with
 constexpr Nanos kLeastSilence = 20 * kMillisecond;  // shorter ones come with any few commands
 constexpr int kFewAnswers = 32;
-constexpr Nanos kShareMemory = 2 * kSecond;  // over which a customer's use is weighed
+// Over which a customer's use is weighed: in less, a router of five commands a second can't tell one that sends
+// three times its share from chance.
+constexpr Nanos kShareMemory = 10 * kSecond;
 
 std::uint64_t mix(std::uint64_t x) {
     x ^= x >> 30;
@@ -288,6 +290,11 @@
         return terms.startShare + (1 - terms.startShare) * done;
     }
 
+    // The time that a decaying sum stands for: a router just started has not yet lived that long.
+    double lifeOf(Nanos memory, Nanos now) const {
+        return -static_cast<double>(memory) * std::expm1(-static_cast<double>(now - startedAt) / memory);
+    }
+
     Nanos typical(Nanos now) {
         const double n = answers.read(now);
         return n < 0.5 ? 0 : static_cast<Nanos>(answerTime.read(now) / n);
@@ -504,7 +511,7 @@
                 parts.push_back(u->sent.read(now) / quota);
         const auto middle = parts.begin() + (parts.size() - 1) / 2;
         std::nth_element(parts.begin(), middle, parts.end());
-        const double even = static_cast<double>(kShareMemory) / kSecond / terms.routers;
+        const double even = lifeOf(kShareMemory, now) / kSecond / terms.routers;
         const double fair = std::max(even, *middle) * usage->customer->quotaPerSecond;
         // Past what chance gives a customer that keeps to its share, or small ones would be taken for greedy.
         return usage->sent.read(now) > fair + 2 * std::sqrt(fair);
@@ -632,9 +639,8 @@
         Nanos wakeWanted = askAt;
         std::size_t kept = 0;
         Nanos ahead = 0;
-        const double life =
-            -static_cast<double>(kMemory) * std::expm1(-static_cast<double>(now - startedAt) / kMemory);
-        const auto answerGap = static_cast<Nanos>(life / std::max<double>(answers.read(now), kFewAnswers));
+        const auto answerGap =
+            static_cast<Nanos>(lifeOf(kMemory, now) / std::max<double>(answers.read(now), kFewAnswers));
         for (std::size_t i = 0; i < waiting.size(); ++i) {
             Command& cmd = *waiting[i];
             if (!cmd.closed) {
