--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -35,6 +35,7 @@
 constexpr double kOpening = 6;            // relays for each cache that all routers together open with
 constexpr Nanos kLeastSilence = 20 * kMillisecond;  // shorter ones come with any few commands
 constexpr int kFewAnswers = 32;
+constexpr int kFirstAnswers = 8;  // since the start: a quiet router never knows many at a time
 // Over which a customer's use is weighed: in less, a router of five commands a second can't tell one that sends
 // three times its share from chance.
 constexpr Nanos kShareMemory = 10 * kSecond;
@@ -467,7 +468,7 @@
     Nanos relayUntil(const Command& cmd, const Cache& to, Nanos now) {
         if (to.origin || cmd.verb->effect != Effect::pure || !cmd.relays.empty()) return cmd.giveUpAt;
         // Just started, nothing is known of what answers take: a guess would set slow machines aside at once.
-        if (answers.read(now) < kFewAnswers) return cmd.giveUpAt;
+        if (whole.seen < kFirstAnswers) return cmd.giveUpAt;
         // Long against what answers take, and early enough that another cache can still make the goal. When
         // all answers are slow no such moment exists, so that a slow fleet isn't asked everything twice.
         const Nanos usual = typical(now);
