What is beyond its share stays out while the mean lateness is over what is wanted

Cause: where a fifth of the caches hang or are jammed by popular keys the median answer is quick, so windows stay open and a customer at three times its share crowds the rest: it was relayed three times its quota at a thousand routers, the others were served 40% inside theirs. Change: a mean over all endings tells, and greedy is past one deviation of chance (two let quiet routers pass twice a share).

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -383,7 +383,7 @@
 
     bool room(const Command& cmd, Cache& c, Nanos now) {
         if (!c.window.open(now, cmd.beyondShare) || !(c.origin || whole.open(now, cmd.beyondShare)) ||
-            !legal(cmd, &c, now))
+            !legal(cmd, &c, now) || (cmd.beyondShare && pressed))
             return false;
         if (c.trialsLeft > 0 && cmd.verb->effect != Effect::pure) return false;
         if (cmd.failedBefore && c.credit < 1) return false;
@@ -515,7 +515,7 @@
         const double even = lifeOf(kShareMemory, now) / kSecond / terms.routers;
         const double fair = std::max(even, *middle) * usage->customer->quotaPerSecond;
         // Past what chance gives a customer that keeps to its share, or small ones would be taken for greedy.
-        return usage->sent.read(now) > fair + 2 * std::sqrt(fair);
+        return usage->sent.read(now) > fair + std::sqrt(fair);
     }
 
     // Time-outs and misses too: in a jam hardly anything is answered, yet all that ends tells of the queue.
@@ -543,7 +543,10 @@
         const double part = static_cast<double>(spent) / static_cast<double>(std::max(cmd.verb->goal, kMillisecond));
         if (!behindAnother) {
             c.heard.add(now, 1);
-            c.lateness.add(now, done || ending == Ending::timedOut ? std::clamp(part, 0.0, 2.0) : 1);
+            const double late = done || ending == Ending::timedOut ? std::clamp(part, 0.0, 2.0) : 1;
+            c.lateness.add(now, late);
+            heardAll.add(now, 1);
+            latenessAll.add(now, late);
             if (done || (ending == Ending::timedOut && spent >= cmd.verb->goal / 2)) learnTime(c, cmd, now, spent);
         }
         switch (ending) {
@@ -681,6 +684,9 @@
         }
         for (; now >= swapAt; swapAt += kGeneration)
             for (Cache* c : fleet) c->filter.swap();
+        // The mean: where a fifth of the caches hang or are jammed by their keys, no median of all tells of it.
+        const double bearable = std::max(kLatenessWanted, whole.seen < kFewAnswers ? 0 : 2 * whole.idle);
+        pressed = latenessAll.read(now) > bearable * std::max(heardAll.read(now), 1.0);
         if (now >= surveyUntil) {
             ++fleetState;
             surveyUntil = kNever;
@@ -808,6 +814,9 @@
     int coldFetches = 0;
     Nanos startedAt;
     Nanos swapAt;
+    Decaying heardAll{kMemory};
+    Decaying latenessAll{kMemory};
+    bool pressed = false;  // what is beyond its share has to stay out
     Nanos askAt = kNever;
     Nanos askAfter = kSecond / 2;
     Nanos wakeAt = 0;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -357,3 +357,22 @@
     for (int i = 0; i < 4; ++i) sent += w.ask(++id) == "a";
     CHECK(sent == 4);
 }
+
+TEST_CASE("while a fifth of all endings hang, what is greedy stays out though the median answer is quick") {
+    Terms t = smallTerms(false);
+    t.customers = {{"greedy", 1}, {"modest", 1}, {"third", 1}};
+    World w(t, 8);
+    CommandId id = 0;
+    const auto day = [&](Nanos slowest) {
+        int sent = 0;
+        for (int i = 0; i < 40; ++i, w.now += 250 * ms) {
+            sent += w.ask(++id, "g" + std::to_string(i), "read", false, "greedy").size() == 1;
+            w.end(id, 0, Ending::answered, true, i % 4 ? 20 * ms : slowest);
+        }
+        return sent;
+    };
+    CHECK(day(20 * ms) == 40);
+    day(1'000 * ms);
+    CHECK(day(1'000 * ms) < 30);
+    CHECK(w.ask(++id, "m", "read", false, "modest").size() == 1);
+}
