--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -211,8 +211,8 @@
     Filter filter;
     Window window{kLatenessWanted};
     double credit = 2;  // further relays it may take; its answers earn them
-    Decaying heard{kMemory};     // endings of all kinds
-    Decaying lateness{kMemory};  // and their sum of parts of the goal
+    Decaying heard{3 * kMemory};     // endings of all kinds
+    Decaying lateness{3 * kMemory};  // and their sum of parts of the goal
     Decaying endings{kMemory};
     Decaying failures{kMemory};
     double due = 0;  // while cold: relays it may be sent, worked out up to `dueAt`
@@ -472,7 +472,11 @@
         // Long against what answers take, and early enough that another cache can still make the goal. When
         // all answers are slow no such moment exists, so that a slow fleet isn't asked everything twice.
         const Nanos usual = typical(now);
-        const Nanos until = now + std::max(6 * usual, cmd.verb->goal / 2);
+        // Sooner while the median answer is about as quick as ever: then what takes long is at a cache that hangs
+        // or is jammed by its keys, and the rest can bear a further relay.
+        const bool calm = whole.seen >= kFewAnswers && whole.usual < 2 * whole.idle;
+        const double patience = calm ? 3 * whole.usual * static_cast<double>(cmd.verb->goal) : 6.0 * usual;
+        const Nanos until = now + std::max(static_cast<Nanos>(patience), cmd.verb->goal / 2);
         return until + usual < std::min(cmd.goalAt, cmd.giveUpAt) ? until : cmd.giveUpAt;
     }
 
