--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -472,11 +472,7 @@
         // Long against what answers take, and early enough that another cache can still make the goal. When
         // all answers are slow no such moment exists, so that a slow fleet isn't asked everything twice.
         const Nanos usual = typical(now);
-        // Sooner while the median answer is about as quick as ever: then what takes long is at a cache that hangs
-        // or is jammed by its keys, and the rest can bear a further relay.
-        const bool calm = whole.seen >= kFewAnswers && whole.usual < 2 * whole.idle;
-        const double patience = calm ? 3 * whole.usual * static_cast<double>(cmd.verb->goal) : 6.0 * usual;
-        const Nanos until = now + std::max(static_cast<Nanos>(patience), cmd.verb->goal / 2);
+        const Nanos until = now + std::max(6 * usual, cmd.verb->goal / 2);
         return until + usual < std::min(cmd.goalAt, cmd.giveUpAt) ? until : cmd.giveUpAt;
     }
 
