--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -728,6 +728,8 @@
         // Judged times all routers: a thousand that open with a few relays each start the day in a jam.
         const double part = kOpening * static_cast<double>(fleet.size()) / terms.routers;
         if (whole.cutAt == 0) whole.size = std::max(part, whole.size);
+        for (Cache* c : origins)
+            if (c->window.seen == 0) c->window.size = std::clamp(part / 3, 0.2, 4.0);
     }
 
     void arrival(Nanos now, const Arrival& a) {
