--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -144,8 +144,8 @@
 struct Window {
     // Beyond its share a customer leaves a quarter free: what is within share would else find it full.
     bool open(Nanos now, bool beyondShare) const {
-        if (beyondShare) return out - stuck + 1 <= size * 0.75 && now >= nextAt;
-        return out - stuck < std::max(1.0, std::floor(size)) && now >= nextAt;
+        if (beyondShare) return out + 1 <= size * 0.75 && now >= nextAt;
+        return out < std::max(1.0, std::floor(size)) && now >= nextAt;
     }
 
     void cut(Nanos now, Nanos spent, double factor) {
@@ -191,7 +191,6 @@
     double idle = 1;      // the least the slower one has been, forgotten slower still
     int seen = 0;
     int out = 0;
-    int stuck = 0;  // of these, at caches that hang: they hold places where no work is done
     Nanos cutAt = 0;
     Nanos nextAt = 0;
     Nanos learntAt = 0;
@@ -685,15 +684,6 @@
         }
         for (; now >= swapAt; swapAt += kGeneration)
             for (Cache* c : fleet) c->filter.swap();
-        if (const Nanos silence = 6 * typical(now); whole.out + 1 >= whole.size && silence > 0 && now >= stuckAt) {
-            // A third of the caches that hang for seconds would fill the window with what nobody answers.
-            stuckAt = now + silence / 4;
-            whole.stuck = 0;
-            for (const Ranked& r : ranked)
-                if (r.cache->window.out > 0 && now - r.cache->heardAt > silence) whole.stuck += r.cache->window.out;
-        }
-        // Half at most: where all are silent it is a jam, and more would only deepen it.
-        whole.stuck = std::min(whole.stuck, whole.out / 2);
         // The mean: where a fifth of the caches hang or are jammed by their keys, no median of all tells of it.
         const double bearable = std::max(kLatenessWanted, whole.seen < kFewAnswers ? 0 : 2 * whole.idle);
         pressed = latenessAll.read(now) > bearable * std::max(heardAll.read(now), 1.0);
@@ -738,6 +728,8 @@
         // Judged times all routers: a thousand that open with a few relays each start the day in a jam.
         const double part = kOpening * static_cast<double>(fleet.size()) / terms.routers;
         if (whole.cutAt == 0) whole.size = std::max(part, whole.size);
+        for (Cache* c : origins)
+            if (c->window.seen == 0) c->window.size = std::clamp(part / 3, 0.2, 4.0);
     }
 
     void arrival(Nanos now, const Arrival& a) {
@@ -824,7 +816,6 @@
     int coldFetches = 0;
     Nanos startedAt;
     Nanos swapAt;
-    Nanos stuckAt = 0;
     Decaying heardAll{kMemory};
     Decaying latenessAll{kMemory};
     bool pressed = false;  // what is beyond its share has to stay out
