--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -329,7 +329,6 @@
     void survey(Nanos now) {
         surveyed = fleetState;
         ranked.clear();
-        windows = 0;
         if (warmSize > 0) warmPace = warmDone.read(now) / warmSize;
         warmSize = 0;
         surveyUntil = kNever;
@@ -345,7 +344,6 @@
                 continue;
             }
             ranked.push_back({c->hash, c->size * w, c});
-            windows += c->window.size;
         }
     }
 
@@ -412,27 +410,18 @@
             return c.window.out >= busy || (c.window.out > 0 && now - c.heardAt > silence) || late(c);
         };
         Cache* yielding = nullptr;
-        bool hold = false;
         for (const bool hinted : {true, false}) {
             for (std::size_t i = 0; i < kCandidates; ++i) {
                 Cache* c = candidates[i];
                 if (!c || c->filter.holds(cmd.key) != hinted) continue;
-                if (room(cmd, *c, now)) {
-                    if (!yields(*c)) return c;
-                    if (!yielding) yielding = c;
-                } else if (hinted && !cmd.failedBefore && !yields(*c) &&
-                           !c->window.open(now, cmd.beyondShare)) {
-                    // Full like all the others: a miss elsewhere would cost the fleet, the origin and their
-                    // memory more than the wait. Only one worse off than its like sends its keys away.
-                    hold = hold || 2 * c->window.size * static_cast<double>(ranked.size()) >= windows;
-                }
+                if (!room(cmd, *c, now)) continue;
+                if (!yields(*c)) return c;
+                if (!yielding) yielding = c;
             }
-            if (hold) return yielding;
-        }
-        if (Cache* c = candidates[kCandidates]) {
-            if (room(cmd, *c, now) && (!yielding || c->filter.holds(cmd.key)) && !yields(*c)) return c;
         }
-        return yielding;
+        Cache* third = candidates[kCandidates];
+        const bool wanted = third && (!yielding || third->filter.holds(cmd.key));
+        return wanted && !yields(*third) && room(cmd, *third, now) ? third : yielding;
     }
 
     bool hintedSomewhere(Command& cmd, Nanos now) {
@@ -525,10 +514,7 @@
         c.window.learn(now, spent, cmd.verb->goal);
         // Where many routers share many caches, one pair has too few answers to learn from in time.
         if (c.origin || hangs) return;
-        // Measured by what that cache takes when idle: slow machines among fast ones are no jam.
-        const bool known = c.window.seen >= kFewAnswers && whole.seen >= kFewAnswers;
-        const double scale = known ? whole.idle / c.window.idle : 1;
-        whole.learn(now, static_cast<Nanos>(static_cast<double>(spent) * scale), cmd.verb->goal);
+        whole.learn(now, spent, cmd.verb->goal);
     }
 
     void learnAnswer(Cache& c, Nanos now, Nanos spent) {
@@ -786,9 +772,7 @@
         if (!from.origin) --whole.out;
         if (from.origin && cmd.atCold) --coldFetches;
         if (end.ending == Ending::noneHere && warmth(from, now) < 1) cmd.atCold = true;
-        const double windowBefore = from.window.size;
         learn(from, cmd, end.ending, end.spent, now, behindAnother);
-        if (!from.origin) windows += from.window.size - windowBefore;
         registerEnd(cmd, from, end.ending);
         if (end.over || end.ending == Ending::answered) cmd.closed = true;
         if (cmd.closed) {
@@ -825,7 +809,6 @@
     std::vector<Ranked> ranked;  // those that may be candidates
     std::uint64_t surveyed = 0;  // the fleet's state that these were worked out for
     Nanos surveyUntil = 0;
-    double windows = 0;  // the sum of theirs
     double warmSize = 0;
     const Nanos fallSpan;
     Decaying warmDone;
