--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -144,8 +144,8 @@
 struct Window {
     // Beyond its share a customer leaves a quarter free: what is within share would else find it full.
     bool open(Nanos now, bool beyondShare) const {
-        if (beyondShare) return out - stuck + 1 <= size * 0.75 && now >= nextAt;
-        return out - stuck < std::max(1.0, std::floor(size)) && now >= nextAt;
+        if (beyondShare) return out + 1 <= size * 0.75 && now >= nextAt;
+        return out < std::max(1.0, std::floor(size)) && now >= nextAt;
     }
 
     void cut(Nanos now, Nanos spent, double factor) {
@@ -191,7 +191,6 @@
     double idle = 1;      // the least the slower one has been, forgotten slower still
     int seen = 0;
     int out = 0;
-    int stuck = 0;  // of these, at caches that hang: they hold places where no work is done
     Nanos cutAt = 0;
     Nanos nextAt = 0;
     Nanos learntAt = 0;
@@ -226,6 +225,8 @@
     int trialsLeft = 0;  // answers it owes before it counts as recovered
 };
 
+bool isDone(Ending e) { return e == Ending::answered || e == Ending::noneHere; }
+
 enum class Standing : std::uint8_t { out, neverRan, mayHaveRun };
 
 struct Relay {
@@ -510,63 +511,41 @@
     }
 
     // Time-outs and misses too: in a jam hardly anything is answered, yet all that ends tells of the queue.
-    void learnTime(Cache& c, const Command& cmd, Nanos now, Nanos spent, bool hangs) {
+    void learnTime(Cache& c, const Command& cmd, Ending ending, Nanos spent, Nanos now) {
+        const bool done = isDone(ending);
+        c.timeOutsInRow = done ? 0 : c.timeOutsInRow + (ending == Ending::timedOut);
+        const double goal = static_cast<double>(std::max(cmd.verb->goal, kMillisecond));
+        const bool timed = done || ending == Ending::timedOut;
+        const double late = timed ? std::clamp(static_cast<double>(spent) / goal, 0.0, 2.0) : 1;
+        c.heard.add(now, 1);
+        c.lateness.add(now, late);
+        heardAll.add(now, 1);
+        latenessAll.add(now, late);
+        // Sent with hardly any time left, a time-out proves nothing.
+        if (!timed || (!done && spent < cmd.verb->goal / 2)) return;
         c.window.learn(now, spent, cmd.verb->goal);
+        // While most of what ends is answered, a second time-out in a row at a cache tells of that cache alone: a
+        // hall that hangs must not close the window over all the others.
+        const bool hangs = c.timeOutsInRow > 1 && answers.read(now) > heardAll.read(now) / 2;
         // Where many routers share many caches, one pair has too few answers to learn from in time.
-        if (c.origin || hangs) return;
-        whole.learn(now, spent, cmd.verb->goal);
-    }
-
-    void learnAnswer(Cache& c, Nanos now, Nanos spent) {
-        c.credit = std::min(c.credit + 0.2, 10.0);
-        answers.add(now, 1);
-        answerTime.add(now, static_cast<double>(spent));
-        c.endings.add(now, 1);
-        if (c.trialsLeft > 0 && --c.trialsLeft == 0) c.asideFor = kSecond;
+        if (!c.origin && !hangs) whole.learn(now, spent, cmd.verb->goal);
     }
 
-    void learn(Cache& c, const Command& cmd, Ending ending, Nanos spent, Nanos now, bool behindAnother) {
-        const bool done = ending == Ending::answered || ending == Ending::noneHere;
-        if (done && !c.origin && warmth(c, now) >= 1) warmDone.add(now, 1);
-        if (done)
-            c.timeOutsInRow = 0;
-        else if (ending == Ending::timedOut)
-            ++c.timeOutsInRow;
-        const double part = static_cast<double>(spent) / static_cast<double>(std::max(cmd.verb->goal, kMillisecond));
-        if (!behindAnother) {
-            c.heard.add(now, 1);
-            const double late = done || ending == Ending::timedOut ? std::clamp(part, 0.0, 2.0) : 1;
-            c.lateness.add(now, late);
-            heardAll.add(now, 1);
-            latenessAll.add(now, late);
-            // While most of what ends is answered, a second time-out in a row at a cache tells of that cache alone:
-            // a hall that hangs must not close the window over all the others.
-            const bool hangs = c.timeOutsInRow > 1 && answers.read(now) > heardAll.read(now) / 2;
-            if (done || (ending == Ending::timedOut && spent >= cmd.verb->goal / 2))
-                learnTime(c, cmd, now, spent, hangs);
+    void learn(Cache& c, const Command& cmd, Ending ending, Nanos spent, Nanos now) {
+        if (ending == Ending::answered) {
+            c.credit = std::min(c.credit + 0.2, 10.0);
+            answers.add(now, 1);
+            answerTime.add(now, static_cast<double>(spent));
+            if (c.trialsLeft > 0 && --c.trialsLeft == 0) c.asideFor = kSecond;
         }
-        switch (ending) {
-            case Ending::answered:
-                return learnAnswer(c, now, spent);
-            case Ending::noneHere:
-                return c.endings.add(now, 1);
-            case Ending::undone:
-            case Ending::notSent:
-                return;
-            case Ending::noRoom:
-                return c.window.cut(now, typical(now), 0.7);
-            case Ending::timedOut:
-                // Sent with hardly any time left, it proves nothing of the cache.
-                if (spent < cmd.verb->goal / 2) return;
-                break;
-            case Ending::noRoute:
-            case Ending::cut:
-                c.filter.wipe();  // it may well have come back empty
-                break;
-            case Ending::errored:
-                break;
-        }
-        c.endings.add(now, 1);
+        if (ending == Ending::noRoom) c.window.cut(now, typical(now), 0.7);
+        if (ending == Ending::noRoute || ending == Ending::cut) c.filter.wipe();  // it may have come back empty
+        const bool done = isDone(ending);
+        if (done && !c.origin && warmth(c, now) >= 1) warmDone.add(now, 1);
+        const bool failed = ending == Ending::errored || ending == Ending::cut || ending == Ending::noRoute ||
+                            (ending == Ending::timedOut && spent >= cmd.verb->goal / 2);
+        if (done || failed) c.endings.add(now, 1);
+        if (!failed) return;
         c.failures.add(now, 1);
         judge(c, now);
     }
@@ -680,15 +659,6 @@
         }
         for (; now >= swapAt; swapAt += kGeneration)
             for (Cache* c : fleet) c->filter.swap();
-        if (const Nanos silence = 6 * typical(now); whole.out + 1 >= whole.size && silence > 0 && now >= stuckAt) {
-            // A third of the caches that hang for seconds would fill the window with what nobody answers.
-            stuckAt = now + silence / 4;
-            whole.stuck = 0;
-            for (const Ranked& r : ranked)
-                if (r.cache->window.out > 0 && now - r.cache->heardAt > silence) whole.stuck += r.cache->window.out;
-        }
-        // Half at most: where all are silent it is a jam, and more would only deepen it.
-        whole.stuck = std::min(whole.stuck, whole.out / 2);
         // The mean: where a fifth of the caches hang or are jammed by their keys, no median of all tells of it.
         const double bearable = std::max(kLatenessWanted, whole.seen < kFewAnswers ? 0 : 2 * whole.idle);
         pressed = latenessAll.read(now) > bearable * std::max(heardAll.read(now), 1.0);
@@ -772,7 +742,8 @@
         if (!from.origin) --whole.out;
         if (from.origin && cmd.atCold) --coldFetches;
         if (end.ending == Ending::noneHere && warmth(from, now) < 1) cmd.atCold = true;
-        learn(from, cmd, end.ending, end.spent, now, behindAnother);
+        if (!behindAnother) learnTime(from, cmd, end.ending, end.spent, now);
+        learn(from, cmd, end.ending, end.spent, now);
         registerEnd(cmd, from, end.ending);
         if (end.over || end.ending == Ending::answered) cmd.closed = true;
         if (cmd.closed) {
@@ -816,7 +787,6 @@
     int coldFetches = 0;
     Nanos startedAt;
     Nanos swapAt;
-    Nanos stuckAt = 0;
     Decaying heardAll{kMemory};
     Decaying latenessAll{kMemory};
     bool pressed = false;  // what is beyond its share has to stay out
