--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -213,8 +213,7 @@
     double credit = 2;  // further relays it may take; its answers earn them
     Decaying heard{3 * kMemory};     // endings of all kinds
     Decaying lateness{3 * kMemory};  // and their sum of parts of the goal
-    Decaying endings{kMemory};
-    Decaying failures{kMemory};
+    Decaying failures{3 * kMemory};
     double due = 0;  // while cold: relays it may be sent, worked out up to `dueAt`
     Nanos dueAt = 0;
     Nanos endedAt = 0;     // when a relay last ended there
@@ -544,7 +543,6 @@
         if (done && !c.origin && warmth(c, now) >= 1) warmDone.add(now, 1);
         const bool failed = ending == Ending::errored || ending == Ending::cut || ending == Ending::noRoute ||
                             (ending == Ending::timedOut && spent >= cmd.verb->goal / 2);
-        if (done || failed) c.endings.add(now, 1);
         if (!failed) return;
         c.failures.add(now, 1);
         judge(c, now);
@@ -552,7 +550,7 @@
 
     // Against the fleet's median, so that what ails all of them is held against none.
     void judge(Cache& c, Nanos now) {
-        const double n = c.endings.read(now);
+        const double n = std::max(c.heard.read(now), c.failures.read(now));
         const double f = c.failures.read(now);
         if (c.origin || c.asideUntil > now || (f <= 1.5 && c.trialsLeft == 0)) return;
         std::vector<double> shares;
@@ -562,7 +560,7 @@
             if (other->presence != Presence::ready) continue;
             ++ready;
             if (other->asideUntil > now) ++gone;
-            if (const double of = other->endings.read(now); of >= 0.5)
+            if (const double of = other->heard.read(now); of >= 0.5)
                 shares.push_back(other->failures.read(now) / of);
         }
         if (shares.empty() || (gone + 1) * 2 > ready) return;
@@ -579,7 +577,8 @@
         c.asideUntil = now + c.asideFor + spread(c.asideFor / 4);
         c.trialsLeft = 3;
         c.window.size = 1;
-        c.endings.clear();
+        c.heard.clear();
+        c.lateness.clear();
         c.failures.clear();
         ++fleetState;
     }
