--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -28,7 +28,9 @@
 constexpr double kYieldMargin = 2;
 constexpr double kYieldFloor = 2;
 
-constexpr Nanos kMemory = 5 * kSecond;    // over which a cache's endings are weighed
+constexpr Nanos kMemory = 5 * kSecond;    // over which this router's own state is weighed
+constexpr Nanos kCacheMemory = 15 * kSecond;  // and a cache's endings, of which a quiet router sees few
+constexpr Nanos kAside = 4 * kSecond;
 constexpr double kLatenessWanted = 0.4;   // of the goal: the spread about the median needs the rest
 constexpr double kOriginLateness = 0.25;  // for the origin, whose answer comes on top of a miss
 constexpr double kLatenessMost = 0.7;     // and no more than this, however slow a cache is when idle
@@ -211,17 +213,15 @@
     Filter filter;
     Window window{kLatenessWanted};
     double credit = 2;  // further relays it may take; its answers earn them
-    Decaying heard{3 * kMemory};     // endings of all kinds
-    Decaying lateness{3 * kMemory};  // and their sum of parts of the goal
-    Decaying failures{3 * kMemory};
+    Decaying heard{kCacheMemory};     // endings of all kinds
+    Decaying lateness{kCacheMemory};  // and their sum of parts of the goal
+    Decaying failures{kCacheMemory};
     double due = 0;  // while cold: relays it may be sent, worked out up to `dueAt`
     Nanos dueAt = 0;
     Nanos endedAt = 0;     // when a relay last ended there
     int timeOutsInRow = 0;
     Nanos heardAt = 0;     // or the first was sent after none
     Nanos asideUntil = 0;  // set aside for its failures until then
-    Nanos asideFor = kSecond;
-    int trialsLeft = 0;  // answers it owes before it counts as recovered
 };
 
 bool isDone(Ending e) { return e == Ending::answered || e == Ending::noneHere; }
@@ -385,7 +385,6 @@
         if (!c.window.open(now, cmd.beyondShare) || !(c.origin || whole.open(now, cmd.beyondShare)) ||
             !legal(cmd, &c, now) || (cmd.beyondShare && pressed))
             return false;
-        if (c.trialsLeft > 0 && cmd.verb->effect != Effect::pure) return false;
         if (cmd.failedBefore && c.credit < 1) return false;
         for (const Relay& r : cmd.relays)
             if (cmd.failedBefore && r.to == &c && !c.origin) return false;
@@ -535,7 +534,6 @@
             c.credit = std::min(c.credit + 0.2, 10.0);
             answers.add(now, 1);
             answerTime.add(now, static_cast<double>(spent));
-            if (c.trialsLeft > 0 && --c.trialsLeft == 0) c.asideFor = kSecond;
         }
         if (ending == Ending::noRoom) c.window.cut(now, typical(now), 0.7);
         if (ending == Ending::noRoute || ending == Ending::cut) c.filter.wipe();  // it may have come back empty
@@ -552,7 +550,7 @@
     void judge(Cache& c, Nanos now) {
         const double n = std::max(c.heard.read(now), c.failures.read(now));
         const double f = c.failures.read(now);
-        if (c.origin || c.asideUntil > now || (f <= 1.5 && c.trialsLeft == 0)) return;
+        if (c.origin || c.asideUntil > now || f <= 1.5) return;
         std::vector<double> shares;
         std::size_t ready = 0;
         std::size_t gone = 0;
@@ -570,12 +568,10 @@
         // More than chance would give at that median, and enough to matter.
         const bool clear =
             excess > 1.5 + 1.5 * std::sqrt(n * std::max(median, 0.02)) && f > (2 * median + 0.1) * n;
-        if (!clear && !(c.trialsLeft > 0 && f > 0.5)) return;
+        if (!clear) return;
         host.log("set aside " + c.name + ": " + std::to_string(f) + " of " + std::to_string(n) +
                  " failed, fleet median " + std::to_string(median));
-        if (c.trialsLeft > 0) c.asideFor = std::min(2 * c.asideFor, 16 * kSecond);
-        c.asideUntil = now + c.asideFor + spread(c.asideFor / 4);
-        c.trialsLeft = 3;
+        c.asideUntil = now + kAside + spread(kAside / 4);
         c.window.size = 1;
         c.heard.clear();
         c.lateness.clear();
