--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -10,6 +10,7 @@
 #include <limits>
 #include <random>
 #include <unordered_map>
+#include <utility>
 
 namespace poppyscale {
 namespace {
@@ -28,7 +29,7 @@
 constexpr double kYieldMargin = 2;
 constexpr double kYieldFloor = 2;
 
-constexpr Nanos kMemory = 5 * kSecond;    // over which this router's own state is weighed
+constexpr Nanos kMemory = 5 * kSecond;        // over which this router's own state is weighed
 constexpr Nanos kCacheMemory = 15 * kSecond;  // and a cache's endings, of which a quiet router sees few
 constexpr Nanos kAside = 4 * kSecond;
 constexpr double kLatenessWanted = 0.4;   // of the goal: the spread about the median needs the rest
@@ -37,10 +38,7 @@
 constexpr double kOpening = 6;            // relays for each cache that all routers together open with
 constexpr Nanos kLeastSilence = 20 * kMillisecond;  // shorter ones come with any few commands
 constexpr int kFewAnswers = 32;
-constexpr int kFirstAnswers = 8;  // since the start: a quiet router never knows many at a time
-// Over which a customer's use is weighed: in less, a router of five commands a second can't tell one that sends
-// three times its share from chance.
-constexpr Nanos kShareMemory = 10 * kSecond;
+constexpr Nanos kShareMemory = 10 * kSecond;  // in less, a quiet router can't tell greed from chance
 
 std::uint64_t mix(std::uint64_t x) {
     x ^= x >> 30;
@@ -107,37 +105,31 @@
 
 // Takes no memory before the first key, and doubles by a further block when full: most routers of a large
 // fleet hold a key or two at each cache, and sizes set for a busy one filled the machine.
-struct Generation {
-    bool holds(std::uint64_t key) const {
-        return std::any_of(blocks.begin(), blocks.end(), [&](const Counters& c) { return c.holds(key); });
-    }
-    void enter(std::uint64_t key) {
-        if (blocks.empty() || (blocks.back().full() && blocks.back().counts.size() < kMostCounters / 4))
-            blocks.emplace_back(blocks.empty() ? kLeastCounters : 2 * blocks.back().counts.size());
-        blocks.back().enter(key);
-    }
-
-    std::vector<Counters> blocks;
-};
-
 class Filter {
   public:
-    bool holds(std::uint64_t key) const { return current_.holds(key) || previous_.holds(key); }
+    bool holds(std::uint64_t key) const { return in(current_, key) || in(previous_, key); }
     void enter(std::uint64_t key) {
-        if (!current_.holds(key)) current_.enter(key);
+        if (in(current_, key)) return;
+        const std::size_t last = current_.empty() ? 0 : current_.back().counts.size();
+        if (last == 0 || (current_.back().full() && last < kMostCounters / 4))
+            current_.emplace_back(std::max(2 * last, kLeastCounters));
+        current_.back().enter(key);
     }
     void clear(std::uint64_t key) {
-        for (Generation* g : {&current_, &previous_})
-            for (Counters& block : g->blocks)
+        for (auto* generation : {&current_, &previous_})
+            for (Counters& block : *generation)
                 if (block.holds(key)) block.remove(key);
     }
-    void wipe() { current_ = previous_ = {}; }
-    void swap() {
-        previous_ = std::move(current_);
-        current_ = {};
-    }
+    void wipe() { *this = {}; }
+    void swap() { previous_ = std::exchange(current_, {}); }
 
   private:
+    using Generation = std::vector<Counters>;
+    static bool in(const Generation& generation, std::uint64_t key) {
+        return std::any_of(generation.begin(), generation.end(),
+                           [&](const Counters& block) { return block.holds(key); });
+    }
+
     Generation current_;
     Generation previous_;
 };
@@ -166,8 +158,8 @@
         // nothing queues, while a queue delays all that is answered.
         lateness = lateness == 0 ? part : std::max(0.01, lateness * (part > lateness ? 1.1 : 0.9));
         // A slow machine may need most of the goal when idle: only what lies well over that is a queue.
-        // Read by slower steps: the least value of a nervous median lies far under what idle caches take.
-        // A router with a few answers a second takes longer steps, or it would see a jam only when it is over.
+        // Read by slower steps, as the least value of a nervous median is far under what idle caches take;
+        // but a router with a few answers a second takes longer ones, or it would see a jam when it is over.
         const double step = std::clamp(static_cast<double>(now - learntAt) / (2 * kSecond), 0.02, 0.1);
         learntAt = now;
         usual = usual == 0 ? part : std::max(0.01, usual * (part > usual ? 1 + step : 1 - step));
@@ -212,13 +204,13 @@
 
     Filter filter;
     Window window{kLatenessWanted};
-    double credit = 2;  // further relays it may take; its answers earn them
+    double credit = 2;                // further relays it may take; its answers earn them
     Decaying heard{kCacheMemory};     // endings of all kinds
     Decaying lateness{kCacheMemory};  // and their sum of parts of the goal
     Decaying failures{kCacheMemory};
     double due = 0;  // while cold: relays it may be sent, worked out up to `dueAt`
     Nanos dueAt = 0;
-    Nanos endedAt = 0;     // when a relay last ended there
+    Nanos endedAt = 0;  // when a relay last ended there
     int timeOutsInRow = 0;
     Nanos heardAt = 0;     // or the first was sent after none
     Nanos asideUntil = 0;  // set aside for its failures until then
@@ -269,14 +261,8 @@
 
 struct Router::Inside {
     Inside(Terms given, Host& host, Nanos now)
-        : terms(std::move(given)),
-          host(host),
-          fallSpan(std::max<Nanos>(terms.fallSpan, 1)),
-          warmDone(fallSpan),
-          startedAt(now),
-          swapAt(now + kGeneration) {
-        std::seed_seq seed{static_cast<std::uint32_t>(terms.seed),
-                           static_cast<std::uint32_t>(terms.seed >> 32)};
+        : terms(std::move(given)), host(host), startedAt(now), swapAt(now + kGeneration) {
+        std::seed_seq seed{static_cast<unsigned>(terms.seed), static_cast<unsigned>(terms.seed >> 32)};
         chance.seed(seed);
         for (const Customer& c : terms.customers) usages.push_back(std::make_unique<Usage>(Usage{&c}));
         // Spread: routers restarted together would otherwise ask discovery in the same moment.
@@ -324,8 +310,8 @@
         return inGroup && now - mayHaveRun->sentAt < cmd.verb->remembered;
     }
 
-    // What the choice of candidates reads of the fleet, side by side and worked out once for each state of it:
-    // going through every cache for every command cost more than all else at a hundred caches.
+    // What the choice of candidates reads of the fleet, side by side and worked out once for each state of
+    // it: going through every cache for every command cost more than all else at a hundred caches.
     void survey(Nanos now) {
         surveyed = fleetState;
         ranked.clear();
@@ -364,9 +350,9 @@
         return cmd.candidates;
     }
 
-    // Routers that each keep to their part keep the sum: the warm pace is this router's part of what the fleet
-    // answers (what it is sent is swollen in a jam). A part of less than one relay goes by chance: a thousand
-    // routers that round it up to one each push a cold cache over in the second they hear of it.
+    // Routers that each keep to their part keep the sum: the warm pace is this router's part of what the
+    // fleet answers (what it is sent is swollen in a jam). A part of less than one relay goes by chance: a
+    // thousand routers that round it up to one each push a cold cache over in the second they hear of it.
     bool coldBudgetLeft(Cache& c, Nanos now) {
         const double w = warmth(c, now);
         if (w >= 1) return true;
@@ -398,9 +384,9 @@
         const double busy = std::max(kYieldFloor, kYieldMargin * mean);
         // Silence yields too: behind a heavy command on a connection, or in a hang, the next would only wait.
         const Nanos silence = std::max(3 * typical(now), kLeastSilence);
-        // Of few relays hardly two are ever out at once, so a quiet router would never see a cache as busy. What
-        // its few endings there took tells the same; one at the fleet's usual is assumed beside them, and they
-        // are forgotten, so that it is tried again.
+        // Of few relays hardly two are ever out at once, so a quiet router would never see a cache as busy.
+        // What its few endings there took tells the same; one at the fleet's usual is assumed beside them,
+        // and they are forgotten, so that it is tried again.
         const auto late = [&](Cache& c) {
             return (c.lateness.read(now) + whole.usual) / (c.heard.read(now) + 1) >
                    std::max(kLatenessWanted, kYieldMargin * whole.usual);
@@ -412,8 +398,7 @@
         for (const bool hinted : {true, false}) {
             for (std::size_t i = 0; i < kCandidates; ++i) {
                 Cache* c = candidates[i];
-                if (!c || c->filter.holds(cmd.key) != hinted) continue;
-                if (!room(cmd, *c, now)) continue;
+                if (!c || c->filter.holds(cmd.key) != hinted || !room(cmd, *c, now)) continue;
                 if (!yields(*c)) return c;
                 if (!yielding) yielding = c;
             }
@@ -424,9 +409,8 @@
     }
 
     bool hintedSomewhere(Command& cmd, Nanos now) {
-        const auto& candidates = candidatesFor(cmd, now);
-        return std::any_of(candidates.begin(), candidates.end(),
-                           [&](const Cache* c) { return c && c->filter.holds(cmd.key); });
+        const auto& all = candidatesFor(cmd, now);
+        return std::any_of(all.begin(), all.end(), [&](auto* c) { return c && c->filter.holds(cmd.key); });
     }
 
     Cache* originFor(Command& cmd, Nanos now) {
@@ -458,7 +442,7 @@
     Nanos relayUntil(const Command& cmd, const Cache& to, Nanos now) {
         if (to.origin || cmd.verb->effect != Effect::pure || !cmd.relays.empty()) return cmd.giveUpAt;
         // Just started, nothing is known of what answers take: a guess would set slow machines aside at once.
-        if (whole.seen < kFirstAnswers) return cmd.giveUpAt;
+        if (whole.seen < kFewAnswers) return cmd.giveUpAt;
         // Long against what answers take, and early enough that another cache can still make the goal. When
         // all answers are slow no such moment exists, so that a slow fleet isn't asked everything twice.
         const Nanos usual = typical(now);
@@ -470,7 +454,7 @@
         if (cmd.failedBefore) to.credit -= 1;
         if (cmd.usage && cmd.relays.empty()) cmd.usage->sent.add(now, 1);
         if (to.origin && !cmd.write && cmd.keyed) fetches[cmd.key] = &cmd;
-        if (to.origin && cmd.atCold) ++coldFetches;
+        if (to.origin) coldFetches += cmd.atCold;
         if (terms.aside && cmd.write)
             for (Cache* c : fleet) c->filter.clear(cmd.key);
         host.relay(cmd.id, to.name, relayUntil(cmd, to, now));
@@ -522,8 +506,8 @@
         // Sent with hardly any time left, a time-out proves nothing.
         if (!timed || (!done && spent < cmd.verb->goal / 2)) return;
         c.window.learn(now, spent, cmd.verb->goal);
-        // While most of what ends is answered, a second time-out in a row at a cache tells of that cache alone: a
-        // hall that hangs must not close the window over all the others.
+        // While most of what ends is answered, a second time-out in a row at a cache tells of that cache
+        // alone: a hall that hangs must not close the window over all the others.
         const bool hangs = c.timeOutsInRow > 1 && answers.read(now) > heardAll.read(now) / 2;
         // Where many routers share many caches, one pair has too few answers to learn from in time.
         if (!c.origin && !hangs) whole.learn(now, spent, cmd.verb->goal);
@@ -536,9 +520,8 @@
             answerTime.add(now, static_cast<double>(spent));
         }
         if (ending == Ending::noRoom) c.window.cut(now, typical(now), 0.7);
-        if (ending == Ending::noRoute || ending == Ending::cut) c.filter.wipe();  // it may have come back empty
-        const bool done = isDone(ending);
-        if (done && !c.origin && warmth(c, now) >= 1) warmDone.add(now, 1);
+        if (ending == Ending::noRoute || ending == Ending::cut) c.filter.wipe();  // it may be back, empty
+        if (isDone(ending) && !c.origin && warmth(c, now) >= 1) warmDone.add(now, 1);
         const bool failed = ending == Ending::errored || ending == Ending::cut || ending == Ending::noRoute ||
                             (ending == Ending::timedOut && spent >= cmd.verb->goal / 2);
         if (!failed) return;
@@ -564,11 +547,9 @@
         if (shares.empty() || (gone + 1) * 2 > ready) return;
         std::nth_element(shares.begin(), shares.begin() + shares.size() / 2, shares.end());
         const double median = shares[shares.size() / 2];
-        const double excess = f - median * n;
         // More than chance would give at that median, and enough to matter.
-        const bool clear =
-            excess > 1.5 + 1.5 * std::sqrt(n * std::max(median, 0.02)) && f > (2 * median + 0.1) * n;
-        if (!clear) return;
+        const double chanceful = median * n + 1.5 + 1.5 * std::sqrt(n * std::max(median, 0.02));
+        if (f <= std::max(chanceful, (2 * median + 0.1) * n)) return;
         host.log("set aside " + c.name + ": " + std::to_string(f) + " of " + std::to_string(n) +
                  " failed, fleet median " + std::to_string(median));
         c.asideUntil = now + kAside + spread(kAside / 4);
@@ -591,11 +572,8 @@
             return;
         }
         if (auto it = fetches.find(cmd.key); it != fetches.end() && it->second == &cmd) fetches.erase(it);
-        for (Cache* c : cmd.lacking)
-            if (answered && !cmd.write && cmd.keyed)
-                c->filter.enter(cmd.key);
-            else
-                c->filter.clear(cmd.key);
+        const bool stored = answered && !cmd.write && cmd.keyed;
+        for (Cache* c : cmd.lacking) stored ? c->filter.enter(cmd.key) : c->filter.clear(cmd.key);
     }
 
     void settle(Nanos now) {
@@ -625,12 +603,11 @@
                 }
                 const Nanos lastStart = std::min(cmd.goalAt, cmd.giveUpAt) - typical(now);
                 // What stands too far back to start by half of its time is told so now, not after the wait.
-                const bool inReach =
-                    at.waitsForFetch || whole.cutAt == 0 || ++ahead * answerGap < (lastStart - now) / 2;
-                const bool roomMayCome = at.waitsForFetch || (!cmd.beyondShare && inReach);
-                const bool barred = cmd.failedBefore ||
-                                    static_cast<int>(cmd.relays.size()) >= terms.maxRelays ||
-                                    (!cmd.candidates[0] && origins.empty());
+                const auto inReach = [&] {
+                    return whole.cutAt == 0 || ++ahead * answerGap < (lastStart - now) / 2;
+                };
+                const bool roomMayCome = at.waitsForFetch || (!cmd.beyondShare && inReach());
+                const bool barred = cmd.failedBefore || (!cmd.candidates[0] && origins.empty());
                 if (now < lastStart && roomMayCome && !barred) {
                     wakeWanted = std::min(wakeWanted, std::min(lastStart, now + 25 * kMillisecond));
                     waiting[kept++] = &cmd;
@@ -654,7 +631,7 @@
         }
         for (; now >= swapAt; swapAt += kGeneration)
             for (Cache* c : fleet) c->filter.swap();
-        // The mean: where a fifth of the caches hang or are jammed by their keys, no median of all tells of it.
+        // The mean: where a fifth of the caches hang or are jammed by their keys, no median tells of it.
         const double bearable = std::max(kLatenessWanted, whole.seen < kFewAnswers ? 0 : 2 * whole.idle);
         pressed = latenessAll.read(now) > bearable * std::max(heardAll.read(now), 1.0);
         if (now >= surveyUntil) {
@@ -691,8 +668,7 @@
             if (e.cameUp != slot->cameUp) slot->dueAt = now;
             slot->presence = e.presence;
             slot->cameUp = e.cameUp;
-            slot->size =
-                std::max(e.size, 1e-9);  // listed without a size, it still has its place in the order
+            slot->size = std::max(e.size, 1e-9);  // without a size it still has its place in the order
         }
         ++fleetState;
         // Judged times all routers: a thousand that open with a few relays each start the day in a jam.
@@ -735,26 +711,19 @@
         const bool behindAnother = from.endedAt == now;
         from.endedAt = from.heardAt = now;
         if (!from.origin) --whole.out;
-        if (from.origin && cmd.atCold) --coldFetches;
+        if (from.origin) coldFetches -= cmd.atCold;
         if (end.ending == Ending::noneHere && warmth(from, now) < 1) cmd.atCold = true;
         if (!behindAnother) learnTime(from, cmd, end.ending, end.spent, now);
         learn(from, cmd, end.ending, end.spent, now);
         registerEnd(cmd, from, end.ending);
-        if (end.over || end.ending == Ending::answered) cmd.closed = true;
-        if (cmd.closed) {
-            commands.erase(it);
-            return;
-        }
+        if (cmd.closed || end.over || end.ending == Ending::answered) return void(commands.erase(it));
         if (end.ending != Ending::noneHere) cmd.failedBefore = true;
         waiting.push_back(&cmd);
     }
 
     void left(CommandId id) {
-        const auto it = commands.find(id);
-        if (it == commands.end()) return;
-        Command& cmd = *it->second;
-        cmd.closed = true;
         // With nothing out it is in `waiting`, and settle() drops it from there.
+        if (const auto it = commands.find(id); it != commands.end()) it->second->closed = true;
     }
 
     Terms terms;
@@ -772,12 +741,12 @@
     Decaying answerTime{kMemory};
     std::uint64_t fleetState = 1;
     Window whole{kLatenessWanted, 0, 1};  // over all caches
-    std::vector<Ranked> ranked;  // those that may be candidates
-    std::uint64_t surveyed = 0;  // the fleet's state that these were worked out for
+    std::vector<Ranked> ranked;           // those that may be candidates
+    std::uint64_t surveyed = 0;           // the fleet's state that these were worked out for
     Nanos surveyUntil = 0;
     double warmSize = 0;
-    const Nanos fallSpan;
-    Decaying warmDone;
+    const Nanos fallSpan = std::max<Nanos>(terms.fallSpan, 1);
+    Decaying warmDone{fallSpan};
     double warmPace = 0;  // relays in a span that a warm cache of size 1 answers this router
     int coldFetches = 0;
     Nanos startedAt;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -76,7 +76,8 @@
         w.now += 500 * ms;
         sent += w.ask(7) == "cold";
     }
-    // Two warm caches answered 200 a second each; the cold one does a fifth of that, and falls at three times.
+    // Two warm caches answered 200 a second each; the cold one does a fifth of that, and falls at three
+    // times.
     CHECK(sent > 10);
     CHECK(sent < 60);
 }
