--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -265,8 +265,10 @@
         std::seed_seq seed{static_cast<unsigned>(terms.seed), static_cast<unsigned>(terms.seed >> 32)};
         chance.seed(seed);
         for (const Customer& c : terms.customers) usages.push_back(std::make_unique<Usage>(Usage{&c}));
-        // Spread: routers restarted together would otherwise ask discovery in the same moment.
-        askAt = terms.listOnRequest ? now + spread(std::min(terms.askWithin / 8, kSecond)) : kNever;
+        // Spread: routers restarted together would otherwise ask discovery in the same moment, and it doesn't
+        // grow with them.
+        const Nanos width = std::min(terms.askWithin / 2, terms.routers * 10 * kMillisecond);
+        askAt = terms.listOnRequest ? now + spread(width) : kNever;
     }
 
     Nanos spread(Nanos width) {
