--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -505,6 +505,8 @@
         c.lateness.add(now, late);
         heardAll.add(now, 1);
         latenessAll.add(now, late);
+        // Full caches answer at once: a fleet that turns most away would look idle to a router with a relay each.
+        if (ending == Ending::noRoom) whole.learn(now, cmd.verb->goal, cmd.verb->goal);
         // Sent with hardly any time left, a time-out proves nothing.
         if (!timed || (!done && spent < cmd.verb->goal / 2)) return;
         c.window.learn(now, spent, cmd.verb->goal);
