--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -204,7 +204,7 @@
 
     Filter filter;
     Window window{kLatenessWanted};
-    double credit = 2;                // further relays it may take; its answers earn them
+    double credit = 0;                // further relays it may take; its answers earn them
     Decaying heard{kCacheMemory};     // endings of all kinds
     Decaying lateness{kCacheMemory};  // and their sum of parts of the goal
     Decaying failures{kCacheMemory};
@@ -245,7 +245,8 @@
     bool keyed = false;
     bool write = false;
     bool closed = false;
-    bool failedBefore = false;  // a relay failed: the next one is a further relay and needs credit
+    bool failedBefore = false;
+    bool ranBefore = false;  // a relay may have run: a further one doubles work and needs credit
     bool beyondShare = false;
     bool atCold = false;  // its miss was at a cold cache
     double rank = 0;
@@ -271,9 +272,9 @@
         askAt = terms.listOnRequest ? now + spread(width) : kNever;
     }
 
-    Nanos spread(Nanos width) {
-        return static_cast<Nanos>(static_cast<double>(width) * (chance() / 4294967296.0));
-    }
+    Nanos spread(Nanos width) { return static_cast<Nanos>(static_cast<double>(width) * draw()); }
+
+    double draw() { return chance() / 4294967296.0; }
 
     double warmth(const Cache& c, Nanos now) const {
         if (c.cameUp <= 0 || now - c.cameUp >= terms.ramp) return 1;
@@ -365,7 +366,7 @@
         const double since = std::min(1.0, static_cast<double>(now - c.dueAt) / fallSpan);
         c.due = std::min(c.due + budget * since, std::max(1.0, budget));
         c.dueAt = now;
-        if (c.due < 1) c.due = chance() / 4294967296.0 < c.due ? 1 : 0;
+        if (c.due < 1) c.due = draw() < c.due ? 1 : 0;
         return c.due >= 1;
     }
 
@@ -373,7 +374,9 @@
         if (!c.window.open(now, cmd.beyondShare) || !(c.origin || whole.open(now, cmd.beyondShare)) ||
             !legal(cmd, &c, now) || (cmd.beyondShare && pressed))
             return false;
-        if (cmd.failedBefore && c.credit < 1) return false;
+        // Below one by chance, as a quiet router has few answers of any cache. What each opens with counts
+        // times all routers: two further relays a cache fed a storm of relays turned away as full.
+        if (cmd.ranBefore && c.credit < draw()) return false;
         for (const Relay& r : cmd.relays)
             if (cmd.failedBefore && r.to == &c && !c.origin) return false;
         return coldBudgetLeft(c, now);
@@ -453,7 +456,7 @@
     }
 
     void send(Command& cmd, Cache& to, Nanos now) {
-        if (cmd.failedBefore) to.credit -= 1;
+        if (cmd.ranBefore) to.credit -= 1;
         if (cmd.usage && cmd.relays.empty()) cmd.usage->sent.add(now, 1);
         if (to.origin && !cmd.write && cmd.keyed) fetches[cmd.key] = &cmd;
         if (to.origin) coldFetches += cmd.atCold;
@@ -505,8 +508,6 @@
         c.lateness.add(now, late);
         heardAll.add(now, 1);
         latenessAll.add(now, late);
-        // Full caches answer at once: a fleet that turns most away would look idle to a router with a relay each.
-        if (ending == Ending::noRoom) whole.learn(now, cmd.verb->goal, cmd.verb->goal);
         // Sent with hardly any time left, a time-out proves nothing.
         if (!timed || (!done && spent < cmd.verb->goal / 2)) return;
         c.window.learn(now, spent, cmd.verb->goal);
@@ -659,6 +660,7 @@
             if (!slot) {
                 slot = std::make_unique<Cache>(e.name);
                 slot->origin = terms.aside && e.shape == terms.originShape;
+                slot->credit = kOpening / terms.routers;
                 if (slot->origin) slot->window.least = slot->window.shared = kOriginLateness;
                 (slot->origin ? origins : fleet).push_back(slot.get());
                 if (e.cameUp > 0 && now - e.cameUp < terms.ramp) slot->window.size = 2;
@@ -722,6 +724,7 @@
         registerEnd(cmd, from, end.ending);
         if (cmd.closed || end.over || end.ending == Ending::answered) return void(commands.erase(it));
         if (end.ending != Ending::noneHere) cmd.failedBefore = true;
+        cmd.ranBefore = cmd.ranBefore || relay.standing == Standing::mayHaveRun;
         waiting.push_back(&cmd);
     }
 
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -188,7 +188,9 @@
 }
 
 TEST_CASE("further relays end when the caches have no credit left") {
-    World w(false, 3);
+    Terms t = smallTerms(false);
+    t.routers = 3;
+    World w(t, 3);
     int relays = 0;
     for (CommandId id = 1; id <= 60; ++id) {
         w.ask(id, std::to_string(id));
@@ -376,3 +378,13 @@
     for (int i = 0; i < 2; ++i) sent += w.ask(++id) == "a";
     CHECK(sent == 2);
 }
+
+TEST_CASE("a relay that a full cache turned away costs no credit, one that may have run does") {
+    for (const Ending e : {Ending::noRoom, Ending::errored}) {
+        Terms t = smallTerms(false);
+        t.routers = 1'000;
+        World w(t, 4);
+        w.ask(1);
+        CHECK((w.end(1, 0, e).size() == 1) == (e == Ending::noRoom));
+    }
+}
