--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -409,7 +409,8 @@
             }
         }
         Cache* third = candidates[kCandidates];
-        const bool wanted = third && (!yielding || third->filter.holds(cmd.key));
+        const bool failing = yielding && 2 * yielding->failures.read(now) > yielding->heard.read(now);
+        const bool wanted = third && (!yielding || failing || third->filter.holds(cmd.key));
         return wanted && !yields(*third) && room(cmd, *third, now) ? third : yielding;
     }
 
