--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -234,6 +234,7 @@
 
 struct Usage {
     const Customer* customer;
+    Decaying asked{kShareMemory};
     Decaying sent{kShareMemory};
 };
 
@@ -273,7 +274,6 @@
     }
 
     Nanos spread(Nanos width) { return static_cast<Nanos>(static_cast<double>(width) * draw()); }
-
     double draw() { return chance() / 4294967296.0; }
 
     double warmth(const Cache& c, Nanos now) const {
@@ -324,10 +324,8 @@
         for (Cache* c : fleet) {
             if (c->presence != Presence::ready) continue;
             const double w = warmth(*c, now);
-            if (w < 1)
-                surveyUntil = std::min(surveyUntil, now + std::max(terms.ramp / 32, kMillisecond));
-            else
-                warmSize += c->size;
+            warmSize += w < 1 ? 0 : c->size;
+            if (w < 1) surveyUntil = std::min(surveyUntil, now + std::max(terms.ramp / 32, kMillisecond));
             if (c->asideUntil > now) {
                 surveyUntil = std::min(surveyUntil, c->asideUntil);
                 continue;
@@ -409,8 +407,7 @@
             }
         }
         Cache* third = candidates[kCandidates];
-        const bool failing = yielding && 2 * yielding->failures.read(now) > yielding->heard.read(now);
-        const bool wanted = third && (!yielding || failing || third->filter.holds(cmd.key));
+        const bool wanted = third && (!yielding || third->filter.holds(cmd.key));
         return wanted && !yields(*third) && room(cmd, *third, now) ? third : yielding;
     }
 
@@ -440,9 +437,8 @@
         const bool lastRelay = static_cast<int>(cmd.relays.size()) + 1 >= terms.maxRelays;
         const bool hinted = !lastRelay && hintedSomewhere(cmd, now);
         if (!hinted && fetches.contains(cmd.key)) return {nullptr, true};
-        if (hinted || (cmd.lacking.empty() && cmd.candidates[0] && !lastRelay))
-            return {ordinary(cmd, now), false};
-        return {originFor(cmd, now), false};
+        const bool atCaches = hinted || (cmd.lacking.empty() && cmd.candidates[0] && !lastRelay);
+        return {atCaches ? ordinary(cmd, now) : originFor(cmd, now), false};
     }
 
     Nanos relayUntil(const Command& cmd, const Cache& to, Nanos now) {
@@ -483,19 +479,25 @@
 
     bool beyondShare(Usage* usage, Nanos now) {
         if (!usage || usage->customer->quotaPerSecond <= 0) return false;
+        usage->asked.add(now, 1);
         // A router can't know its part of all traffic, and an even part would take each customer of a busy
-        // router for greedy: what the median customer is sent of its share stands for it (what it asks is
-        // swollen by retries).
-        std::vector<double> parts;
-        for (const auto& u : usages)
-            if (const double quota = u->customer->quotaPerSecond; quota > 0)
-                parts.push_back(u->sent.read(now) / quota);
-        const auto middle = parts.begin() + (parts.size() - 1) / 2;
-        std::nth_element(parts.begin(), middle, parts.end());
+        // router for greedy: what the median customer asks or is sent of its share stands for it.
         const double even = lifeOf(kShareMemory, now) / kSecond / terms.routers;
-        const double fair = std::max(even, *middle) * usage->customer->quotaPerSecond;
-        // Past what chance gives a customer that keeps to its share, or small ones would be taken for greedy.
-        return usage->sent.read(now) > fair + std::sqrt(fair);
+        const auto fair = [&](Decaying Usage::*of) {
+            std::vector<double> parts;
+            for (const auto& u : usages)
+                if (const double quota = u->customer->quotaPerSecond; quota > 0)
+                    parts.push_back(((*u).*of).read(now) / quota);
+            const auto middle = parts.begin() + (parts.size() - 1) / 2;
+            std::nth_element(parts.begin(), middle, parts.end());
+            return std::max(even, *middle) * usage->customer->quotaPerSecond;
+        };
+        // Past what chance gives a customer that keeps to its share, or small ones would be taken for greedy;
+        // who asks far more than the others gets no such margin while the caches are pressed.
+        const double asked = fair(&Usage::asked);
+        const bool greedy = usage->asked.read(now) > 1.5 * asked + 2 * std::sqrt(asked);
+        const double sent = fair(&Usage::sent);
+        return usage->sent.read(now) > sent + (greedy && pressed ? 0 : std::sqrt(sent));
     }
 
     // Time-outs and misses too: in a jam hardly anything is answered, yet all that ends tells of the queue.
@@ -640,10 +642,8 @@
         // The mean: where a fifth of the caches hang or are jammed by their keys, no median tells of it.
         const double bearable = std::max(kLatenessWanted, whole.seen < kFewAnswers ? 0 : 2 * whole.idle);
         pressed = latenessAll.read(now) > bearable * std::max(heardAll.read(now), 1.0);
-        if (now >= surveyUntil) {
-            ++fleetState;
-            surveyUntil = kNever;
-        }
+        fleetState += now >= surveyUntil;
+        if (now >= surveyUntil) surveyUntil = kNever;
     }
 
     void news(Nanos now, NewsKind kind, const std::vector<Listed>& entries) {
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -388,3 +388,20 @@
         CHECK((w.end(1, 0, e).size() == 1) == (e == Ending::noRoom));
     }
 }
+
+TEST_CASE("who asks far more than the median gets no margin of chance while the caches are pressed") {
+    Terms t = smallTerms(false);
+    t.routers = 2;
+    t.customers = {{"greedy", 0.8}, {"modest", 0.8}, {"third", 0.8}};
+    World w(t, 4);
+    CommandId id = 0;
+    int sent = 0;
+    for (int i = 0; i < 800; ++i, w.now += 100 * ms) {
+        const std::string_view who = i % 10 == 0 ? "modest" : i % 10 == 5 ? "third" : "greedy";
+        const std::string where = w.ask(++id, std::to_string(i), "read", false, who);
+        if (i >= 500) sent += who == "greedy" && where.size() == 1;
+        // Every fourth answer takes twice the goal, which no median shows.
+        w.end(id, 0, Ending::answered, true, i % 4 ? 100 * ms : 1'000 * ms);
+    }
+    CHECK(sent <= 35);  // in thirty seconds the others ask thirty each; with the margin it gets forty
+}
