--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -401,9 +401,12 @@
         for (const bool hinted : {true, false}) {
             for (std::size_t i = 0; i < kCandidates; ++i) {
                 Cache* c = candidates[i];
-                if (!c || c->filter.holds(cmd.key) != hinted || !room(cmd, *c, now)) continue;
-                if (!yields(*c)) return c;
-                if (!yielding) yielding = c;
+                if (!c || c->filter.holds(cmd.key) != hinted) continue;
+                const bool fits = room(cmd, *c, now);
+                if (!fits && (!hinted || cmd.failedBefore || c->window.open(now, cmd.beyondShare))) continue;
+                // A hinted one that is only full is waited for: a miss elsewhere costs more than the wait.
+                if (!yields(*c)) return fits ? c : yielding;
+                if (fits && !yielding) yielding = c;
             }
         }
         Cache* third = candidates[kCandidates];
@@ -492,8 +495,8 @@
             std::nth_element(parts.begin(), middle, parts.end());
             return std::max(even, *middle) * usage->customer->quotaPerSecond;
         };
-        // Past what chance gives a customer that keeps to its share, or small ones would be taken for greedy;
-        // who asks far more than the others gets no such margin while the caches are pressed.
+        // Past chance, or small ones that keep to their share would be taken for greedy; who asks far more
+        // than the others gets no such margin while the caches are pressed.
         const double asked = fair(&Usage::asked);
         const bool greedy = usage->asked.read(now) > 1.5 * asked + 2 * std::sqrt(asked);
         const double sent = fair(&Usage::sent);
@@ -543,8 +546,7 @@
         const double f = c.failures.read(now);
         if (c.origin || c.asideUntil > now || f <= 1.5) return;
         std::vector<double> shares;
-        std::size_t ready = 0;
-        std::size_t gone = 0;
+        std::size_t ready = 0, gone = 0;
         for (Cache* other : fleet) {
             if (other->presence != Presence::ready) continue;
             ++ready;
@@ -562,9 +564,7 @@
                  " failed, fleet median " + std::to_string(median));
         c.asideUntil = now + kAside + spread(kAside / 4);
         c.window.size = 1;
-        c.heard.clear();
-        c.lateness.clear();
-        c.failures.clear();
+        for (Decaying* sum : {&c.heard, &c.lateness, &c.failures}) sum->clear();
         ++fleetState;
     }
 
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -405,3 +405,19 @@
     }
     CHECK(sent <= 35);  // in thirty seconds the others ask thirty each; with the margin it gets forty
 }
+
+TEST_CASE("a hinted candidate that is only full is waited for, not passed over") {
+    World w(false, 2);
+    CommandId id = 10;
+    for (int round = 0; round < 8; ++round, w.now += 600 * ms) {
+        const auto before = w.host.told.size();
+        for (const CommandId last = id + 2; id < last; ++id) w.ask(id, "j" + std::to_string(id));
+        for (auto i = before; i < w.host.told.size(); ++i)
+            if (const Told t = w.host.told[i]; t.what == 'r')
+                w.now += ms, w.end(t.id, 0, Ending::answered, true, 480 * ms);
+    }
+    const std::string home = w.serve(1, "k");
+    CHECK(w.ask(2, "k") == home);
+    CHECK(w.ask(3, "k").size() != 1);  // held or declined, but not sent to one that lacks it
+    CHECK(w.ask(4, "other").size() == 1);
+}
