Greedy is only who is past a third more than the median as well

Cause: over ten seconds a busy router counts hundreds, so that one deviation of chance is a margin of 7% and a customer within its share, at 1.1 times the median, was taken for greedy. Told from the origin's window by letting that window grow faster, which changed nothing.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -500,7 +500,7 @@
         const double asked = fair(&Usage::asked);
         const bool greedy = usage->asked.read(now) > 1.5 * asked + 2 * std::sqrt(asked);
         const double sent = fair(&Usage::sent);
-        return usage->sent.read(now) > sent + (greedy && pressed ? 0 : std::sqrt(sent));
+        return usage->sent.read(now) > sent + (greedy && pressed ? 0 : std::max(std::sqrt(sent), sent / 3));
     }
 
     // Time-outs and misses too: in a jam hardly anything is answered, yet all that ends tells of the queue.
