--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -164,7 +164,7 @@
         const double step = std::clamp(gap / 2, 0.02, 0.1);
         usual = usual == 0 ? part : std::max(0.01, usual * (part > usual ? 1 + step : 1 - step));
         if (++seen == kFewAnswers) idle = usual;
-        idle = std::min(idle * (1 + 0.02 * gap), usual);  // by time: few answers would keep a router starved
+        idle = std::min(idle * std::max(1.0002, 1 + 0.02 * gap), usual);
         // At the origin all routers queue together: the fewer a router has there the more it bears, or those
         // that know of a longer idle time would starve the rest.
         const double wanted = std::clamp(2 * idle, least, kLatenessMost) + shared / std::max(size, 0.5);
