--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -160,11 +160,11 @@
         // A slow machine may need most of the goal when idle: only what lies well over that is a queue.
         // Read by slower steps, as the least value of a nervous median is far under what idle caches take;
         // but a router with a few answers a second takes longer ones, or it would see a jam when it is over.
-        const double gap = std::min(1.0, static_cast<double>(now - std::exchange(learntAt, now)) / kSecond);
-        const double step = std::clamp(gap / 2, 0.02, 0.1);
+        const double step = std::clamp(static_cast<double>(now - learntAt) / (2 * kSecond), 0.02, 0.1);
+        learntAt = now;
         usual = usual == 0 ? part : std::max(0.01, usual * (part > usual ? 1 + step : 1 - step));
         if (++seen == kFewAnswers) idle = usual;
-        idle = std::min(idle * std::max(1.0002, 1 + 0.02 * gap), usual);
+        idle = std::min(idle * 1.0002, usual);
         // At the origin all routers queue together: the fewer a router has there the more it bears, or those
         // that know of a longer idle time would starve the rest.
         const double wanted = std::clamp(2 * idle, least, kLatenessMost) + shared / std::max(size, 0.5);
