--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -1,6 +1,9 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <cmath>
+
 #include "fake_host.hpp"
 
 using namespace poppyscale;
@@ -421,3 +424,54 @@
     CHECK(w.ask(3, "k").size() != 1);  // held or declined, but not sent to one that lacks it
     CHECK(w.ask(4, "other").size() == 1);
 }
+
+TEST_CASE("candidates are those of plain weighted rendezvous, however the fleet is laid out") {
+    const auto mixed = [](std::uint64_t x) {
+        x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+        x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+        return x ^ (x >> 31);
+    };
+    const auto hashed = [&](const std::string& text) {
+        std::uint64_t h = 0xcbf29ce484222325ULL;
+        for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+        return mixed(h);
+    };
+    World w(false, 40);
+    for (std::size_t i = 0; i < w.list.size(); ++i) w.list[i].size = 1.0 + static_cast<double>(i % 7);
+    w.router.news(w.now, NewsKind::whole, w.list);
+    for (CommandId id = 1; id <= 300; ++id, w.now += 100 * ms) {
+        std::pair<double, std::string> best;
+        for (const Listed& e : w.list) {
+            const std::uint64_t mixedKey = mixed(hashed(std::to_string(id)) ^ hashed(e.name));
+            const double u = (static_cast<double>(mixedKey >> 11) + 0.5) * 0x1p-53;
+            best = std::max(best, {e.size / -std::log(u), e.name});
+        }
+        CHECK(w.serve(id, std::to_string(id)) == best.second);
+    }
+}
+
+TEST_CASE("a list that is shuffled, doubled, emptied and back is followed without a command lost") {
+    World w(true, 8);
+    std::vector<CommandId> held;
+    CommandId id = 0;
+    for (int round = 0; round < 40; ++round, w.now += 100 * ms) {
+        std::rotate(w.list.begin(), w.list.begin() + 3, w.list.end());
+        std::vector<Listed> news = w.list;
+        if (round % 4 == 1) news.insert(news.end(), w.list.begin(), w.list.end());
+        if (round % 4 == 2) news.clear();
+        if (round % 4 == 3) news.front().cameUp = w.now;
+        w.router.news(w.now, NewsKind::whole, news);
+        const std::string where = w.ask(++id, std::to_string(round % 5));
+        if (where.empty())
+            held.push_back(id);
+        else
+            w.end(id, 0, Ending::answered);
+    }
+    w.now += 60'000 * ms;
+    w.router.settle(w.now);
+    CHECK(held.size() == 10);
+    for (const CommandId waited : held) {
+        w.end(waited, 0, Ending::timedOut, false, 2'000 * ms);  // sent meanwhile, when the list was back
+        CHECK(w.finals(waited) == 1);
+    }
+}
