--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -662,7 +662,7 @@
                 slot = std::make_unique<Cache>(e.name);
                 slot->origin = terms.aside && e.shape == terms.originShape;
                 slot->credit = kOpening / terms.routers;
-                if (slot->origin) slot->window.least = kOriginLateness, slot->window.shared = 2 * kOriginLateness;
+                if (slot->origin) slot->window.least = slot->window.shared = kOriginLateness;
                 (slot->origin ? origins : fleet).push_back(slot.get());
                 if (e.cameUp > 0 && now - e.cameUp < terms.ramp) slot->window.size = 2;
             } else if (e.cameUp > slot->cameUp) {
