A command with no relay left is answered at once again

The check is back, with a story. Also plain again: the test of who is in reach, the order of two times and their comment, one reading of the failures in place of two.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -210,9 +210,9 @@
     Decaying failures{kCacheMemory};
     double due = 0;  // while cold: relays it may be sent, worked out up to `dueAt`
     Nanos dueAt = 0;
-    Nanos endedAt = 0;  // when a relay last ended there
     int timeOutsInRow = 0;
-    Nanos heardAt = 0;     // or the first was sent after none
+    Nanos endedAt = 0;     // when a relay last ended there
+    Nanos heardAt = 0;     // the same, or when the first was sent after none was out
     Nanos asideUntil = 0;  // set aside for its failures until then
 };
 
@@ -542,8 +542,8 @@
 
     // Against the fleet's median, so that what ails all of them is held against none.
     void judge(Cache& c, Nanos now) {
-        const double n = std::max(c.heard.read(now), c.failures.read(now));
         const double f = c.failures.read(now);
+        const double n = std::max(c.heard.read(now), f);
         if (c.origin || c.asideUntil > now || f <= 1.5) return;
         std::vector<double> shares;
         std::size_t ready = 0, gone = 0;
@@ -611,11 +611,11 @@
                 }
                 const Nanos lastStart = std::min(cmd.goalAt, cmd.giveUpAt) - typical(now);
                 // What stands too far back to start by half of its time is told so now, not after the wait.
-                const auto inReach = [&] {
-                    return whole.cutAt == 0 || ++ahead * answerGap < (lastStart - now) / 2;
-                };
-                const bool roomMayCome = at.waitsForFetch || (!cmd.beyondShare && inReach());
-                const bool barred = cmd.failedBefore || (!cmd.candidates[0] && origins.empty());
+                const bool inReach =
+                    at.waitsForFetch || whole.cutAt == 0 || ++ahead * answerGap < (lastStart - now) / 2;
+                const bool roomMayCome = at.waitsForFetch || (!cmd.beyondShare && inReach);
+                const bool spentAll = static_cast<int>(cmd.relays.size()) >= terms.maxRelays;
+                const bool barred = cmd.failedBefore || spentAll || (!cmd.candidates[0] && origins.empty());
                 if (now < lastStart && roomMayCome && !barred) {
                     wakeWanted = std::min(wakeWanted, std::min(lastStart, now + 25 * kMillisecond));
                     waiting[kept++] = &cmd;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -475,3 +475,12 @@
         CHECK(w.finals(waited) == 1);
     }
 }
+
+TEST_CASE("a command that has no relay left is answered at once, not held to its goal") {
+    Terms t = smallTerms(true);
+    t.maxRelays = 2;
+    World w(t, 4);
+    w.ask(1);
+    CHECK(w.end(1, 0, Ending::noneHere) == "origin");
+    CHECK(w.end(1, 1, Ending::noneHere) == "declined");
+}
