--- /dev/null
+++ b/src/program/program.cpp
@@ -0,0 +1,105 @@
+#include "program/program.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace poppyscale::program {
+namespace {
+
+constexpr Nanos kMillisecond = 1'000'000;
+// Clients go on connecting for up to 0.4 s after the signal.
+constexpr Nanos kLeaving = 480 * kMillisecond;
+// Beyond the longest wait of a client: answers just at its end are still on their way.
+constexpr Nanos kLastAnswers = 200 * kMillisecond;
+constexpr Nanos kMostWait = 20'000 * kMillisecond;  // of a call to discovery
+constexpr Nanos kLeastWait = 1'000 * kMillisecond;
+constexpr std::size_t kOwnDescriptors = 32;   // standard streams, loop, signals, listener, discovery
+constexpr std::size_t kMemoryOfClient = 128 * 1024;  // a half-sent command and what its decoder holds
+
+std::size_t mostClients(const protocol::Start& start) {
+    const std::size_t left = start.descriptors - start.descriptors * 2 / 5 - kOwnDescriptors;
+    return std::max<std::size_t>(std::min(left, start.memory / 2 / kMemoryOfClient), 1);
+}
+
+transport::Address addressOf(const std::string& text, const char* what) {
+    if (const auto address = transport::parseAddress(text)) return *address;
+    throw protocol::Malformed(fmt::format("{} is not an address and port: '{}'", what, text));
+}
+
+}  // namespace
+
+Program::Program(protocol::Start start)
+    : start_(std::move(start)), pool_(start_.memory / 8 / transport::kBufferSize) {
+    const auto log = [this](std::string_view text) { logger_.line(text); };
+    const auto listen = addressOf(start_.listen, "listen");
+    const auto discovery = addressOf(start_.discovery, "discovery");
+    core_.emplace(loop_, pool_, start_, log);
+    clients_.emplace(loop_, pool_, *core_, mostClients(start_));
+    // What discovery holds back for a call that waits counts as told soon after; the shorter the wait, the
+    // sooner a silent discovery is noticed.
+    const Nanos wait = std::clamp(start_.terms.askWithin, kLeastWait, kMostWait);
+    watch_.emplace(loop_, pool_, *core_, discovery, start_.discovery, start_.known.version, wait, log);
+    core_->askForList = [this] { watch_->want(); };
+    next_.emplace(loop_, [this] { enter(state_ == State::leaving ? State::draining : State::done); });
+    const std::string problem = clients_->listen(listen);
+    if (!problem.empty()) throw protocol::Malformed(fmt::format("can't listen on {}: {}", start_.listen, problem));
+    watchSignals();
+}
+
+Program::~Program() {
+    for (uv_signal_t* signal : {&terminate_, &interrupt_})
+        if (signal->data) uv_close(reinterpret_cast<uv_handle_t*>(signal), nullptr);
+}
+
+void Program::watchSignals() {
+    for (const auto& [handle, number] : {std::pair{&terminate_, SIGTERM}, std::pair{&interrupt_, SIGINT}}) {
+        uv_signal_init(loop_.raw(), handle);
+        handle->data = this;
+        uv_signal_start(
+            handle,
+            [](uv_signal_t* s, int) {
+                auto* const program = static_cast<Program*>(s->data);
+                if (program->state_ == State::serving) program->enter(State::leaving);
+            },
+            number);
+    }
+}
+
+int Program::run() {
+    enter(State::serving);
+    loop_.eachTurn([this] { turn(); });
+    loop_.run();
+    return 0;
+}
+
+void Program::turn() {
+    core_->turn();
+    if (state_ == State::draining && clients_->closed()) enter(State::done);
+}
+
+void Program::enter(State state) {
+    state_ = state;
+    const Nanos now = transport::Loop::now();
+    switch (state) {
+        case State::starting:
+            break;
+        case State::serving:
+            logger_.line(fmt::format("{} serves on {}", start_.name, start_.listen));
+            break;
+        case State::leaving:
+            logger_.line(fmt::format("{} was told to stop; {} commands open", start_.name, core_->open()));
+            next_->set(now + kLeaving);
+            break;
+        case State::draining:
+            clients_->close();
+            next_->set(now + start_.longestPatience + kLastAnswers);
+            break;
+        case State::done:
+            logger_.line(fmt::format("{} stops; {} clients left", start_.name, clients_->count()));
+            loop_.stop();
+            break;
+    }
+}
+
+}  // namespace poppyscale::program
--- /dev/null
+++ b/src/protocol/command.cpp
@@ -0,0 +1,130 @@
+#include "protocol/command.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+namespace poppyscale::protocol {
+namespace {
+
+constexpr Nanos kMillisecond = 1'000'000;
+constexpr std::int64_t kLongestWaitMs = 3'600'000;
+constexpr std::size_t kLongestWord = 1024;  // of a key, an id or a list
+
+bool isWord(std::string_view text, std::size_t least) {
+    // These go on in a header of the origin's: a line break in one would begin another header.
+    return text.size() >= least && text.size() <= kLongestWord &&
+           std::all_of(text.begin(), text.end(), [](unsigned char c) { return c > ' ' && c < 0x7f; });
+}
+
+// Calls with each name, its value and the whole item.
+template <class Visit>
+void eachItem(std::string_view info, Visit visit) {
+    while (!info.empty()) {
+        const auto item = info.substr(0, info.find(','));
+        const auto equals = item.find('=');
+        visit(item.substr(0, equals), equals == item.npos ? std::string_view{} : item.substr(equals + 1), item);
+        info.remove_prefix(std::min(info.size(), item.size() + 1));
+    }
+}
+
+std::string upper(std::string text) {
+    for (char& c : text) c = static_cast<char>(std::toupper(static_cast<unsigned char>(c)));
+    return text;
+}
+
+std::string printable(std::string_view text) {
+    std::string out(text.substr(0, 32));
+    for (char& c : out)
+        if (c < ' ' || c > '~') c = '?';
+    return out;
+}
+
+Aside wrong(std::string_view what) { return {"-ERR " + std::string(what) + "\r\n"}; }
+
+// The path of a key: all that a path may not hold is written as its number.
+std::string pathOf(std::string_view key) {
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string path = "/";
+    for (const char c : key) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (std::isalnum(byte) || std::string_view("-._~!$&'()*+,;=:@").find(c) != std::string_view::npos) {
+            path += c;
+        } else {
+            path += '%';
+            path += digits[byte >> 4];
+            path += digits[byte & 15];
+        }
+    }
+    return path;
+}
+
+}  // namespace
+
+std::variant<Command, Aside> readCommand(Value value) {
+    auto& words = value.items;
+    if (words.empty()) return wrong("empty command");
+    const std::string name = upper(words[0].text);
+    if (name == "PING") {
+        if (words.size() > 2) return wrong("wrong number of arguments for 'PING'");
+        return Aside{words.size() == 1 ? "+PONG\r\n" : bulk(words[1].text)};
+    }
+    if (name == "QUIT") return Aside{"+OK\r\n", true};
+    const bool write = name == "OBJ.SET";
+    if (!write && name != "OBJ.GET") return wrong("unknown command '" + printable(words[0].text) + "'");
+    if (words.size() != (write ? 5U : 4U)) return wrong("wrong number of arguments for '" + name + "'");
+
+    Command command;
+    command.write = write;
+    command.key = std::move(words[1].text);
+    command.id = std::move(words[2].text);
+    command.info = std::move(words[3].text);
+    if (write) command.value = std::move(words[4].text);
+    if (!isWord(command.key, 1) || !isWord(command.id, 1) || !isWord(command.info, 0))
+        return wrong("key, id and list are words of up to 1024 visible characters");
+    std::int64_t patience = -1;
+    eachItem(command.info, [&](std::string_view item, std::string_view text, std::string_view) {
+        if (item == "c") command.verb = text;
+        if (item == "t") command.customer = text;
+        if (item != "d") return;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), patience);
+        if (error != std::errc{} || end != text.data() + text.size()) patience = -1;
+    });
+    if (patience < 0 || command.verb.empty()) return wrong("the list must tell c and d, d in milliseconds");
+    command.patience = std::min(patience, kLongestWaitMs) * kMillisecond;
+    return command;
+}
+
+std::string cacheCommand(const Command& command, Nanos wait) {
+    std::string info;
+    eachItem(command.info, [&](std::string_view name, std::string_view, std::string_view item) {
+        if (!info.empty()) info += ',';
+        if (name == "d")
+            info += "d=" + std::to_string(std::max<Nanos>(wait / kMillisecond, 1));
+        else
+            info += item;
+    });
+    std::vector<std::string_view> words{command.write ? "OBJ.SET" : "OBJ.GET", command.key, command.id, info};
+    if (command.write) words.push_back(command.value);
+    return protocol::command(words);
+}
+
+std::string originRequest(const Command& command, std::string_view host) {
+    std::string out(command.write ? "PUT " : "GET ");
+    out.append(pathOf(command.key)).append(" HTTP/1.1\r\nHost: ").append(host);
+    out.append("\r\nX-Call-Id: ").append(command.id).append("\r\nX-Call-Info: ").append(command.info);
+    if (command.write) out.append("\r\nContent-Length: ").append(std::to_string(command.value.size()));
+    return out.append("\r\n\r\n").append(command.value);
+}
+
+Outcome readCacheAnswer(Value answer) {
+    if (answer.kind == Value::Kind::error)
+        return {answer.text == "BUSY" || answer.text.starts_with("BUSY ") ? Ending::noRoom : Ending::errored, {}};
+    if (answer.kind != Value::Kind::array || answer.items.empty()) return {};
+    Value& first = answer.items[0];
+    if (first.kind == Value::Kind::null) return {Ending::noneHere, {}};
+    if (first.kind != Value::Kind::bulk) return {};
+    return {Ending::answered, std::move(first.text)};
+}
+
+}  // namespace poppyscale::protocol
--- /dev/null
+++ b/src/protocol/command.hpp
@@ -0,0 +1,44 @@
+// The form of a client's command, and what its relays are written as.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "logic.hpp"
+#include "protocol/resp.hpp"
+
+namespace poppyscale::protocol {
+
+struct Command {
+    std::string key;
+    std::string id;
+    std::string info;  // the list of names and values, as it came
+    std::string value;
+    std::string verb;
+    std::string customer;
+    Nanos patience = 0;  // how long the client waits
+    bool write = false;
+};
+
+// A word that asks nothing of the decisions, answered at once.
+struct Aside {
+    std::string answer;
+    bool thenClose = false;
+};
+
+std::variant<Command, Aside> readCommand(Value value);
+
+// For a cache: unchanged but for how long the router will wait.
+std::string cacheCommand(const Command& command, Nanos wait);
+std::string originRequest(const Command& command, std::string_view host);
+
+// What a relay's answer says: its ending, and the value or receipt when it is answered.
+struct Outcome {
+    Ending ending = Ending::errored;
+    std::string value;
+};
+Outcome readCacheAnswer(Value answer);
+
+}  // namespace poppyscale::protocol
--- /dev/null
+++ b/src/protocol/discovery.cpp
@@ -0,0 +1,114 @@
+#include "protocol/discovery.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace poppyscale::protocol {
+namespace {
+
+using Json = nlohmann::json;
+
+// Every use of the library goes through here: it throws its own kinds for what is missing or of another type.
+template <class Read>
+auto reading(std::string_view text, Read read) {
+    try {
+        return read(Json::parse(text));
+    } catch (const Json::exception& problem) {
+        throw Malformed(problem.what());
+    }
+}
+
+Place placeOf(const Json& entry) {
+    Place place;
+    Listed& listed = place.listed;
+    listed.name = entry.at("id").get<std::string>();
+    if (listed.name.empty()) throw Malformed("an entry without an id");
+    const auto state = entry.at("state").get<std::string>();
+    if (state != "Ready" && state != "Terminating" && state != "Gone")
+        throw Malformed("an entry with an unknown state");
+    listed.presence = state == "Ready"         ? Presence::ready
+                      : state == "Terminating" ? Presence::draining
+                                               : Presence::gone;
+    listed.zone = entry.value("zone", "");
+    listed.shape = entry.value("kind", "");
+    listed.cell = entry.value("cell", std::int64_t{0});
+    listed.size = entry.value("weight", 1.0);
+    if (!std::isfinite(listed.size) || listed.size < 0) throw Malformed("an entry with a weight out of range");
+    place.address = entry.value("addr", "");
+    place.startedMs = entry.value("started_ms", std::int64_t{0});
+    // Far past any clock; times ten to the sixth it must not overflow.
+    if (place.startedMs < 0 || place.startedMs > 8'000'000'000'000)
+        throw Malformed("an entry with a start out of range");
+    return place;
+}
+
+Roster rosterOf(const Json& json) {
+    Roster roster;
+    roster.version = json.at("version").get<std::int64_t>();
+    roster.full = json.at("full").get<bool>();
+    for (const Json& entry : json.at("servers")) roster.places.push_back(placeOf(entry));
+    return roster;
+}
+
+std::string scalar(const Json& value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
+
+void flatten(const Json& value, const std::string& path, Paths& paths) {
+    const auto below = [&](const std::string& name) { return path.empty() ? name : path + "." + name; };
+    if (value.is_object()) {
+        for (const auto& [name, item] : value.items()) flatten(item, below(name), paths);
+    } else if (value.is_array() && !value.empty() && value[0].is_object()) {
+        paths.add(path + ".count", std::to_string(value.size()));
+        for (std::size_t i = 0; i < value.size(); ++i) flatten(value[i], below(std::to_string(i)), paths);
+    } else if (value.is_array()) {
+        std::string list;
+        for (const Json& item : value) {
+            if (&item != &value[0]) list += ',';
+            list += scalar(item);
+        }
+        paths.add(path, list);
+    } else {
+        paths.add(path, scalar(value));
+    }
+}
+
+}  // namespace
+
+Roster readRoster(std::string_view text) {
+    return reading(text, [](const Json& json) { return rosterOf(json); });
+}
+
+Start readStart(std::string_view text) {
+    return reading(text, [](const Json& json) {
+        Start start;
+        start.name = json.at("name").get<std::string>();
+        start.listen = json.at("listen").get<std::string>();
+        start.discovery = json.at("discovery").get<std::string>();
+        const auto digits = json.at("seed").get<std::string>();
+        std::uint64_t seed = 0;
+        const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), seed, 16);
+        if (error != std::errc{} || end != digits.data() + digits.size())
+            throw Malformed("seed is not a hexadecimal number");
+        const Json& limits = json.at("limits");
+        const double megabytes = limits.at("memory_mb").get<double>();
+        const auto sockets = limits.at("sockets").get<std::int64_t>();
+        if (!(megabytes >= 16 && megabytes < 1e9) || sockets < 64 || sockets > 10'000'000)
+            throw Malformed("limits are out of range: at least 16 MB and 64 sockets are needed");
+        start.memory = static_cast<std::size_t>(megabytes * 1e6);
+        start.descriptors = static_cast<std::size_t>(sockets);
+        if (json.contains("known")) start.known = rosterOf(json.at("known"));
+        Paths paths;
+        flatten(json.at("settings"), "", paths);
+        start.terms = readTerms(paths, seed);
+        start.idle = paths.time("allowed.connIdleUs");
+        start.connectWithin = paths.time("allowed.connectTimeoutUs");
+        start.mostOpen = static_cast<std::size_t>(paths.whole("allowed.maxOpen", 100'000'000));
+        for (std::size_t i = 0; i < start.terms.verbs.size(); ++i)
+            start.longestPatience = std::max(
+                start.longestPatience, paths.time("verbs." + std::to_string(i) + ".timeLimitUs"));
+        return start;
+    });
+}
+
+}  // namespace poppyscale::protocol
--- /dev/null
+++ b/src/protocol/http.cpp
@@ -0,0 +1,79 @@
+#include "protocol/http.hpp"
+
+#include <strings.h>
+
+namespace poppyscale::protocol {
+namespace {
+
+constexpr std::size_t kMostHeaders = 16 * 1024;
+
+}  // namespace
+
+HttpAnswer::HttpAnswer(std::size_t longestBody) : longestBody_(longestBody) {
+    http_parser_settings_init(&calls_);
+    calls_.on_header_field = [](http_parser* p, const char* at, std::size_t size) {
+        HttpAnswer& a = of(p);
+        if (a.valueSeen_) a.headerDone();
+        a.field_.append(at, size);
+        return (a.headers_ += size) > kMostHeaders ? 1 : 0;
+    };
+    calls_.on_header_value = [](http_parser* p, const char* at, std::size_t size) {
+        HttpAnswer& a = of(p);
+        a.valueSeen_ = true;
+        a.value_.append(at, size);
+        return (a.headers_ += size) > kMostHeaders ? 1 : 0;
+    };
+    calls_.on_headers_complete = [](http_parser* p) {
+        HttpAnswer& a = of(p);
+        a.headerDone();
+        // Told by the length it names, before any of it is kept.
+        const bool named = p->content_length != ~std::uint64_t{0};
+        return named && p->content_length > a.longestBody_ ? -1 : 0;
+    };
+    calls_.on_body = [](http_parser* p, const char* at, std::size_t size) {
+        HttpAnswer& a = of(p);
+        a.body_.append(at, size);
+        return a.body_.size() > a.longestBody_ ? 1 : 0;
+    };
+    calls_.on_message_complete = [](http_parser* p) {
+        of(p).whole_ = true;
+        of(p).keepsOpen_ = http_should_keep_alive(p) != 0;
+        http_parser_pause(p, 1);  // whatever follows was not asked for
+        return 0;
+    };
+    clear();
+}
+
+void HttpAnswer::clear() {
+    http_parser_init(&parser_, HTTP_RESPONSE);
+    parser_.data = this;
+    headers_ = 0;
+    field_.clear();
+    value_.clear();
+    body_.clear();
+    valueSeen_ = neverRan_ = keepsOpen_ = whole_ = false;
+}
+
+void HttpAnswer::headerDone() {
+    if (strcasecmp(field_.c_str(), "X-Rejected") == 0 && value_ == "1") neverRan_ = true;
+    field_.clear();
+    value_.clear();
+    valueSeen_ = false;
+}
+
+HttpAnswer::State HttpAnswer::feed(std::string_view bytes) {
+    const std::size_t parsed = http_parser_execute(&parser_, &calls_, bytes.data(), bytes.size());
+    if (whole_) {
+        // The parser stops on the last byte of the message or just behind it.
+        if (parsed + 1 < bytes.size()) keepsOpen_ = false;
+        return State::whole;
+    }
+    return HTTP_PARSER_ERRNO(&parser_) == HPE_OK ? State::more : State::broken;
+}
+
+HttpAnswer::State HttpAnswer::end() {
+    http_parser_execute(&parser_, &calls_, nullptr, 0);
+    return whole_ ? State::whole : State::broken;
+}
+
+}  // namespace poppyscale::protocol
--- /dev/null
+++ b/src/protocol/http.hpp
@@ -0,0 +1,45 @@
+// HTTP/1.1 answers, as the origin and discovery give them.
+#pragma once
+
+#include <http_parser.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace poppyscale::protocol {
+
+class HttpAnswer {
+  public:
+    explicit HttpAnswer(std::size_t longestBody);
+    HttpAnswer(const HttpAnswer&) = delete;
+    HttpAnswer& operator=(const HttpAnswer&) = delete;
+
+    enum class State : std::uint8_t { more, whole, broken };
+    State feed(std::string_view bytes);
+    State end();  // the connection ended, which also ends a body without a length
+    void clear();
+
+    int status() const { return static_cast<int>(parser_.status_code); }
+    bool keepsOpen() const { return keepsOpen_; }
+    bool neverRan() const { return neverRan_; }
+    std::string& body() { return body_; }
+
+  private:
+    static HttpAnswer& of(http_parser* parser) { return *static_cast<HttpAnswer*>(parser->data); }
+    void headerDone();
+
+    http_parser_settings calls_{};
+    http_parser parser_{};
+    std::size_t longestBody_;
+    std::size_t headers_ = 0;
+    std::string field_;
+    std::string value_;
+    std::string body_;
+    bool valueSeen_ = false;
+    bool neverRan_ = false;
+    bool keepsOpen_ = false;
+    bool whole_ = false;
+};
+
+}  // namespace poppyscale::protocol
--- /dev/null
+++ b/src/protocol/resp.cpp
@@ -0,0 +1,121 @@
+#include "protocol/resp.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace poppyscale::protocol {
+namespace {
+
+constexpr std::size_t kLongestLine = 1024;  // of an error or a simple string too
+
+void appendCount(std::string& out, char kind, std::size_t count) {
+    out += kind;
+    out += std::to_string(count);
+    out += "\r\n";
+}
+
+}  // namespace
+
+Decoder::State Decoder::fail(std::string_view what) {
+    problem_ = what;
+    return State::broken;
+}
+
+Decoder::State Decoder::feed(std::string_view& bytes) {
+    if (!problem_.empty()) return State::broken;
+    while (!bytes.empty()) {
+        State state = State::more;
+        begun_ = true;
+        if (bulkLeft_) {
+            const std::size_t size = std::min(*bulkLeft_, bytes.size());
+            bulk_.text.append(bytes.substr(0, size));
+            bytes.remove_prefix(size);
+            held_ += size;
+            if ((*bulkLeft_ -= size) > 0) return State::more;
+            bulkLeft_.reset();
+            if (!bulk_.text.ends_with("\r\n")) return fail("bulk string without its end");
+            bulk_.text.resize(bulk_.text.size() - 2);
+            state = put(std::move(bulk_));
+        } else {
+            const auto end = bytes.find('\n');
+            const auto part = bytes.substr(0, end == std::string_view::npos ? end : end + 1);
+            if (line_.size() + part.size() > kLongestLine) return fail("line too long");
+            line_ += part;
+            bytes.remove_prefix(part.size());
+            held_ += part.size();
+            // Told by its first byte, before a line that may never end.
+            if (bounds_.onlyCommands && line_[0] != (open_.empty() ? '*' : '$'))
+                return fail(open_.empty() ? "expected an array" : "expected a bulk string");
+            if (end == std::string_view::npos) return State::more;
+            state = header();
+            line_.clear();
+        }
+        if (held_ > bounds_.whole) return fail("value too large");
+        if (state != State::more) return state;
+    }
+    return State::more;
+}
+
+Decoder::State Decoder::header() {
+    if (!line_.ends_with("\r\n") || line_.size() < 3) return fail("line without its end");
+    const std::string_view rest(line_.data() + 1, line_.size() - 3);
+    const char kind = line_[0];
+    if (kind == '+') return put({Value::Kind::simple, std::string(rest), {}});
+    if (kind == '-') return put({Value::Kind::error, std::string(rest), {}});
+    std::int64_t number = 0;
+    const auto [end, error] = std::from_chars(rest.data(), rest.data() + rest.size(), number);
+    if (error != std::errc{} || end != rest.data() + rest.size()) return fail("not a number");
+    if (kind == ':') return put({Value::Kind::integer, std::string(rest), {}});
+    if (kind != '$' && kind != '*') return fail("unknown type");
+    if (number == -1 && !bounds_.onlyCommands) return put({});
+    if (number < 0) return fail("negative length");
+    const auto size = static_cast<std::size_t>(number);
+    if (kind == '$') {
+        if (size > bounds_.bulk) return fail("bulk string too long");
+        bulk_ = {Value::Kind::bulk, {}, {}};
+        bulkLeft_ = size + 2;
+        return State::more;
+    }
+    if (size > bounds_.items) return fail("array too long");
+    if (open_.size() >= bounds_.depth) return fail("arrays too deep");
+    if (size == 0) return put({Value::Kind::array, {}, {}});
+    open_.push_back({{Value::Kind::array, {}, {}}, size});
+    return State::more;
+}
+
+Decoder::State Decoder::put(Value value) {
+    while (!open_.empty()) {
+        Open& top = open_.back();
+        top.array.items.push_back(std::move(value));
+        if (--top.left > 0) return State::more;
+        value = std::move(top.array);
+        open_.pop_back();
+    }
+    done_ = std::move(value);
+    begun_ = false;
+    held_ = 0;
+    return State::whole;
+}
+
+Value Decoder::take() { return std::move(done_); }
+
+void appendBulk(std::string& out, std::string_view text) {
+    appendCount(out, '$', text.size());
+    out += text;
+    out += "\r\n";
+}
+
+std::string bulk(std::string_view text) {
+    std::string out;
+    appendBulk(out, text);
+    return out;
+}
+
+std::string command(const std::vector<std::string_view>& words) {
+    std::string out;
+    appendCount(out, '*', words.size());
+    for (const auto word : words) appendBulk(out, word);
+    return out;
+}
+
+}  // namespace poppyscale::protocol
--- /dev/null
+++ b/src/routing/clients.cpp
@@ -0,0 +1,166 @@
+#include "routing/clients.hpp"
+
+#include <algorithm>
+
+namespace poppyscale::routing {
+namespace {
+
+constexpr Nanos kMillisecond = 1'000'000;
+constexpr Nanos kPatience = 30'000 * kMillisecond;  // with a half-sent command, or with answers left unread
+constexpr Nanos kLinger = 1'000 * kMillisecond;     // for the last answer to be read before the end
+constexpr std::size_t kMostInLine = 128;            // commands of one connection that wait for their answers
+constexpr std::size_t kMostUnsent = 256 * 1024;     // then no more of its commands are read
+constexpr protocol::Decoder::Bounds kBounds{64 * 1024, 16, 1, 80 * 1024, true};
+
+std::string wordsOf(const Final& final) {
+    switch (final.kind) {
+        case Final::Kind::answered:
+            return protocol::bulk(final.value);
+        case Final::Kind::declined: {
+            const auto ms = (final.comeBack + kMillisecond - 1) / kMillisecond;
+            return ms > 0 ? "-BUSY " + std::to_string(ms) + "\r\n" : "-BUSY\r\n";
+        }
+        case Final::Kind::terminated:
+            break;
+    }
+    return "-ERR failed\r\n";
+}
+
+}  // namespace
+
+class Client : private transport::Connection::Owner {
+  public:
+    explicit Client(Clients& clients)
+        : clients_(clients),
+          connection_(clients.loop_, clients.pool_, *this),
+          patience_(clients.loop_, [this] { clients_.drop(*this); }) {}
+
+    ~Client() override {
+        for (auto& slot : line_)
+            if (slot.command) clients_.core_.left(*slot.command);
+    }
+
+    transport::Connection& connection() { return connection_; }
+    std::list<std::unique_ptr<Client>>::iterator place;
+
+    void start() { connection_.read(true); }
+    bool owed() const { return !line_.empty() || connection_.unsent() > 0; }
+    bool idle() const { return !owed() && !decoder_.within() && !ending_; }
+    // What has come in but was not read yet would be lost with the connection.
+    bool mayClose() const { return idle() && !connection_.bytesWait(); }
+
+  private:
+    // One command's place in the order of answers.
+    struct Slot : Asker {
+        explicit Slot(Client& client) : client(client) {}
+        void tell(Final final) override {
+            command = nullptr;
+            answer = wordsOf(final);
+            client.flush();
+        }
+        Client& client;
+        Command* command = nullptr;
+        std::optional<std::string> answer;
+        bool thenEnd = false;
+    };
+
+    void received(std::string_view bytes) override {
+        clients_.clients_.splice(clients_.clients_.end(), clients_.clients_, place);
+        const Nanos now = transport::Loop::now();
+        while (!bytes.empty() && !ending_) {
+            const auto state = decoder_.feed(bytes);
+            if (state == protocol::Decoder::State::more) break;
+            if (state == protocol::Decoder::State::broken) {
+                reply("-ERR Protocol error: " + decoder_.problem() + "\r\n", true);
+                break;
+            }
+            auto said = protocol::readCommand(decoder_.take());
+            if (auto* aside = std::get_if<protocol::Aside>(&said)) {
+                reply(std::move(aside->answer), aside->thenClose);
+                continue;
+            }
+            Slot& slot = line_.emplace_back(*this);
+            slot.command = clients_.core_.take(slot, std::move(std::get<protocol::Command>(said)), now);
+            // Over the number that may be open; never sent, so that trying again is harmless.
+            if (!slot.command) slot.answer = "-BUSY\r\n";
+        }
+        flush();
+    }
+
+    void reply(std::string text, bool thenEnd) {
+        Slot& slot = line_.emplace_back(*this);
+        slot.answer = std::move(text);
+        slot.thenEnd = ending_ = thenEnd;
+    }
+
+    void ended() override { clients_.drop(*this); }
+    void emptied() override { flush(); }
+
+    void flush() {
+        std::string out;
+        bool end = false;
+        while (!line_.empty() && line_.front().answer && !end) {
+            out += *line_.front().answer;
+            end = line_.front().thenEnd;
+            line_.pop_front();
+        }
+        if (!out.empty() && !connection_.write(out)) return clients_.drop(*this);
+        if (end) {
+            // Closed at once, unread bytes would reset the connection under the last answer.
+            connection_.finishSending();
+            return patience_.set(transport::Loop::now() + kLinger);
+        }
+        if (ending_ && line_.empty()) return;
+        if (clients_.closing_ && mayClose()) return clients_.drop(*this);
+        connection_.read(line_.size() < kMostInLine && connection_.unsent() < kMostUnsent);
+        if (decoder_.within() || connection_.unsent() > 0) {
+            if (!waits_) patience_.set(transport::Loop::now() + kPatience);
+            waits_ = true;
+        } else if (waits_) {
+            patience_.clear();
+            waits_ = false;
+        }
+    }
+
+    Clients& clients_;
+    transport::Connection connection_;
+    transport::Alarm patience_;
+    protocol::Decoder decoder_{kBounds};
+    std::list<Slot> line_;
+    bool ending_ = false;  // nothing more is read of it
+    bool waits_ = false;   // for the client to read, or to finish what it has begun
+};
+
+Clients::Clients(transport::Loop& loop, transport::Pool& pool, Core& core, std::size_t most)
+    : loop_(loop),
+      pool_(pool),
+      core_(core),
+      most_(most),
+      listener_(std::make_unique<transport::Listener>(loop, [this](const auto& finish) { admit(finish); })) {}
+
+Clients::~Clients() = default;
+
+void Clients::admit(const std::function<bool(transport::Connection&)>& finish) {
+    if (clients_.size() >= most_) {
+        const auto idle = std::find_if(clients_.begin(), clients_.end(), [](auto& c) { return c->mayClose(); });
+        if (idle != clients_.end()) clients_.erase(idle);
+    }
+    auto made = std::make_unique<Client>(*this);
+    if (!finish(made->connection()) || clients_.size() >= most_) return;
+    Client& client = *clients_.emplace_back(std::move(made));
+    client.place = std::prev(clients_.end());
+    client.start();
+}
+
+void Clients::close() {
+    if (closing_) return;
+    if (listener_) listener_->takeBacklog();
+    listener_.reset();
+    closing_ = true;
+    for (auto it = clients_.begin(); it != clients_.end();)
+        (*it)->mayClose() ? it = clients_.erase(it) : ++it;
+}
+
+void Clients::drop(Client& client) { clients_.erase(client.place); }
+
+}  // namespace poppyscale::routing
--- /dev/null
+++ b/src/routing/core.cpp
@@ -0,0 +1,181 @@
+#include "routing/core.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <unordered_set>
+
+namespace poppyscale::routing {
+namespace {
+
+constexpr Nanos kMillisecond = 1'000'000;
+
+// Taken once: a clock that is set later must not make a cache's start time look like another start.
+std::int64_t leadOfClock() {
+    const auto wall = std::chrono::duration_cast<std::chrono::nanoseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    return transport::Loop::now() - wall.count();
+}
+
+std::size_t heldBy(const protocol::Command& said) {
+    return said.key.size() + said.id.size() + said.info.size() + said.value.size();
+}
+
+}  // namespace
+
+Core::Core(transport::Loop& loop, transport::Pool& pool, protocol::Start& start, Log log)
+    : loop_(loop),
+      log_(std::move(log)),
+      // Caches close an idle connection at the settings' time at the latest: well before it none crosses that.
+      links_{loop, pool, *this, start.descriptors * 2 / 5, start.idle / 2, start.connectWithin, {}, 0},
+      mostOpen_(start.mostOpen),
+      mostHeld_(start.memory / 8),
+      clockLead_(leadOfClock()),
+      originShape_(start.terms.originShape),
+      aside_(start.terms.aside),
+      wakeUp_(loop, [this] { due_ = true; }),
+      router_(start.terms, *this, transport::Loop::now()) {
+    listed(NewsKind::cached, start.known);
+}
+
+Core::~Core() {
+    // Relays hold alarms and point to upstreams.
+    commands_.clear();
+}
+
+Command* Core::take(Asker& asker, protocol::Command said, Nanos now) {
+    if (commands_.size() >= mostOpen_ || held_ >= mostHeld_) return nullptr;
+    auto made = std::make_unique<Command>();
+    Command& command = *made;
+    command.id = ++lastId_;
+    command.asker = &asker;
+    command.giveUpAt = now + said.patience;
+    command.said = std::move(said);
+    held_ += heldBy(command.said);
+    commands_.emplace(command.id, std::move(made));
+    events_.push_back({now, Arrived{&command}});
+    return &command;
+}
+
+void Core::left(Command& command) {
+    command.asker = nullptr;
+    events_.push_back({transport::Loop::now(), Left{command.id}});
+}
+
+void Core::listed(NewsKind kind, const protocol::Roster& roster) {
+    News news{kind, {}};
+    std::unordered_set<std::string_view> named;
+    for (const auto& place : roster.places) {
+        named.insert(place.listed.name);
+        Listed entry = place.listed;
+        if (place.startedMs > 0)
+            entry.cameUp = std::max<Nanos>(place.startedMs * kMillisecond + clockLead_, 1);
+        auto& upstream = upstreams_[entry.name];
+        if (!upstream)
+            upstream = std::make_unique<Upstream>(links_, entry.name, aside_ && entry.shape == originShape_);
+        const auto address = transport::parseAddress(place.address);
+        if (!address && entry.presence != Presence::gone)
+            log_(fmt::format("{} is listed without an address to connect to", entry.name));
+        upstream->listed(entry.presence, address, place.address);
+        news.entries.push_back(std::move(entry));
+    }
+    if (kind != NewsKind::changes)
+        for (auto& [name, upstream] : upstreams_)
+            if (!named.contains(name)) upstream->listed(Presence::gone, std::nullopt, "");
+    std::erase_if(upstreams_, [](const auto& entry) { return entry.second->unused(); });
+    events_.push_back({transport::Loop::now(), std::move(news)});
+}
+
+void Core::listFailed() { events_.push_back({transport::Loop::now(), News{NewsKind::failed, {}}}); }
+
+void Core::turn() {
+    while (due_ || !events_.empty()) {
+        due_ = false;
+        for (const Event& event : std::exchange(events_, {})) handOver(event);
+        router_.settle(transport::Loop::now());
+        // What is carried out may end at once and bring events of its own, for the next time round.
+        for (Action& action : std::exchange(actions_, {})) carryOut(action);
+        if (std::exchange(subscribe_, false) && askForList) askForList();
+    }
+}
+
+void Core::handOver(const Event& event) {
+    if (const auto* arrived = std::get_if<Arrived>(&event.what)) {
+        const Command& c = *arrived->command;
+        router_.arrival(event.at,
+                        {c.id, c.said.verb, c.said.customer, c.said.key, c.giveUpAt, c.said.write});
+    } else if (const auto* ended = std::get_if<Ended>(&event.what)) {
+        RelayEnd end = ended->end;
+        const auto it = commands_.find(end.id);
+        end.over = it == commands_.end() || !it->second->asker;
+        router_.ended(event.at, end);
+        if (end.over) forget(end.id);
+    } else if (const auto* left = std::get_if<Left>(&event.what)) {
+        router_.left(event.at, left->id);
+        const auto it = commands_.find(left->id);
+        if (it != commands_.end() && !it->second->out) forget(left->id);
+    } else {
+        const auto& news = std::get<News>(event.what);
+        router_.news(event.at, news.kind, news.entries);
+    }
+}
+
+void Core::relay(CommandId id, std::string_view cache, Nanos giveUpAt) {
+    const auto it = upstreams_.find(std::string(cache));
+    actions_.push_back({id, Send{it == upstreams_.end() ? nullptr : it->second.get(), giveUpAt}});
+}
+
+void Core::decline(CommandId id, Nanos comeBack) {
+    actions_.push_back({id, Final{Final::Kind::declined, {}, comeBack}});
+}
+
+void Core::terminate(CommandId id) { actions_.push_back({id, Final{Final::Kind::terminated, {}, 0}}); }
+
+void Core::carryOut(Action& action) {
+    const auto it = commands_.find(action.id);
+    if (it == commands_.end()) return;
+    Command& command = *it->second;
+    if (auto* final = std::get_if<Final>(&action.what)) {
+        tell(command, std::move(*final));
+        return forget(action.id);
+    }
+    const auto& send = std::get<Send>(action.what);
+    const Nanos now = transport::Loop::now();
+    const int number = command.relays++;
+    const Nanos giveUpAt = std::min(send.giveUpAt, command.giveUpAt);
+    if (!send.to || now >= giveUpAt) {
+        events_.push_back({now, Ended{{command.id, number, Ending::notSent, false, 0}}});
+        return;
+    }
+    command.out = std::make_unique<Relay>(loop_, command.said, *send.to);
+    Relay& relay = *command.out;
+    relay.command = command.id;
+    relay.number = number;
+    relay.sentAt = now;
+    relay.giveUpAt = giveUpAt;
+    send.to->send(relay);
+}
+
+void Core::relayEnded(Relay& relay, protocol::Outcome outcome) {
+    Command& command = *commands_.at(relay.command);
+    const Nanos now = transport::Loop::now();
+    events_.push_back(
+        {now, Ended{{command.id, relay.number, outcome.ending, false, now - relay.sentAt}}});
+    command.out.reset();
+    if (outcome.ending == Ending::answered)
+        tell(command, {Final::Kind::answered, std::move(outcome.value), 0});
+}
+
+void Core::tell(Command& command, Final final) {
+    if (Asker* const asker = std::exchange(command.asker, nullptr)) asker->tell(std::move(final));
+}
+
+void Core::forget(CommandId id) {
+    const auto it = commands_.find(id);
+    if (it == commands_.end()) return;
+    held_ -= heldBy(it->second->said);
+    commands_.erase(it);
+}
+
+}  // namespace poppyscale::routing
--- /dev/null
+++ b/src/routing/core.hpp
@@ -0,0 +1,126 @@
+// The module's host: gathers what a turn of the loop brings, hands it over, carries out what comes back.
+// Decides nothing, and knows nothing of what fronts and caches speak.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "logic.hpp"
+#include "protocol/command.hpp"
+#include "protocol/discovery.hpp"
+#include "routing/upstream.hpp"
+#include "transport/loop.hpp"
+#include "transport/pool.hpp"
+
+namespace poppyscale::routing {
+
+// The one final answer of a command.
+struct Final {
+    enum class Kind : std::uint8_t { answered, declined, terminated };
+    Kind kind = Kind::terminated;
+    std::string value;
+    Nanos comeBack = 0;
+};
+
+// Who waits for it, at a front.
+class Asker {
+  public:
+    virtual ~Asker() = default;
+    virtual void tell(Final final) = 0;
+};
+
+struct Command {
+    CommandId id = 0;
+    protocol::Command said;
+    Asker* asker = nullptr;  // null once told, or when the client has left
+    Nanos giveUpAt = 0;
+    int relays = 0;
+    std::unique_ptr<Relay> out;
+};
+
+using Log = std::function<void(std::string_view)>;
+
+class Core : private Host, private RelayOwner {
+  public:
+    Core(transport::Loop& loop, transport::Pool& pool, protocol::Start& start, Log log);
+    ~Core() override;
+
+    // Null when the router holds as many as it may; the asker has not been told anything then.
+    Command* take(Asker& asker, protocol::Command said, Nanos now);
+    void left(Command& command);
+    std::size_t open() const { return commands_.size(); }
+
+    void listed(NewsKind kind, const protocol::Roster& roster);
+    void listFailed();
+    std::function<void()> askForList;
+
+    // Hands over what has been gathered, until nothing is left of it.
+    void turn();
+
+  private:
+    struct Arrived {
+        Command* command;
+    };
+    struct Ended {
+        RelayEnd end;
+    };
+    struct Left {
+        CommandId id;
+    };
+    struct News {
+        NewsKind kind;
+        std::vector<Listed> entries;
+    };
+    struct Event {
+        Nanos at;
+        std::variant<Arrived, Ended, Left, News> what;
+    };
+    struct Send {
+        Upstream* to;
+        Nanos giveUpAt;
+    };
+    struct Action {
+        CommandId id;
+        std::variant<Send, Final> what;
+    };
+
+    void relay(CommandId id, std::string_view cache, Nanos giveUpAt) override;
+    void decline(CommandId id, Nanos comeBack) override;
+    void terminate(CommandId id) override;
+    void wake(Nanos at) override { wakeUp_.set(at); }
+    void subscribe() override { subscribe_ = true; }
+    void log(std::string_view text) override { log_(text); }
+
+    void relayEnded(Relay& relay, protocol::Outcome outcome) override;
+
+    void handOver(const Event& event);
+    void carryOut(Action& action);
+    void tell(Command& command, Final final);
+    void forget(CommandId id);
+
+    transport::Loop& loop_;
+    Log log_;
+    Links links_;
+    std::size_t mostOpen_;
+    std::size_t mostHeld_;  // bytes of what clients sent
+    std::size_t held_ = 0;
+    std::int64_t clockLead_;  // of the loop's clock over the machines', in ns
+    std::string originShape_;
+    bool aside_;
+    bool due_ = true;
+    bool subscribe_ = false;
+    CommandId lastId_ = 0;
+    std::unordered_map<CommandId, std::unique_ptr<Command>> commands_;
+    std::unordered_map<std::string, std::unique_ptr<Upstream>> upstreams_;
+    std::vector<Event> events_;
+    std::vector<Action> actions_;
+    transport::Alarm wakeUp_;
+    Router router_;
+};
+
+}  // namespace poppyscale::routing
--- /dev/null
+++ b/src/routing/upstream.cpp
@@ -0,0 +1,255 @@
+#include "routing/upstream.hpp"
+
+#include <algorithm>
+#include <variant>
+
+#include "protocol/http.hpp"
+#include "protocol/resp.hpp"
+
+namespace poppyscale::routing {
+namespace {
+
+constexpr std::size_t kLongestValue = 64 * 1024;
+
+}  // namespace
+
+// One connection, with one relay at a time: answers come in order, so behind a heavy command a second one would
+// only wait.
+class Link : private transport::Connection::Owner {
+  public:
+    explicit Link(Upstream& upstream)
+        : upstream_(upstream),
+          address_(*upstream.address_),
+          connection_(upstream.shared_.loop, upstream.shared_.pool, *this),
+          alarm_(upstream.shared_.loop, [this] { up_ ? upstream_.drop(*this) : opened(false); }) {
+        if (upstream.origin_) http_.emplace(kLongestValue);
+    }
+
+    bool open() {
+        alarm_.set(transport::Loop::now() + upstream_.shared_.connectWithin);
+        return connection_.open(address_);
+    }
+    bool up() const { return up_; }
+    bool idle() const { return up_ && !relay_; }
+    Nanos idleSince() const { return idleSince_; }
+    // Of an earlier address, or of a cache that is to get nothing new.
+    bool stale() const {
+        return upstream_.presence_ != Presence::ready || !upstream_.address_ ||
+               !transport::sameAddress(address_, *upstream_.address_);
+    }
+
+    void begin(Relay& relay) {
+        alarm_.clear();
+        relay_ = &relay;
+        relay.on = this;
+        const Nanos wait = relay.giveUpAt - transport::Loop::now();
+        if (!connection_.write(upstream_.origin_ ? protocol::originRequest(relay.said, upstream_.host_)
+                                                 : protocol::cacheCommand(relay.said, wait)))
+            broke();
+    }
+    // Whether the command's last byte is with the kernel: before that it can't have run.
+    bool written() const { return connection_.unsent() == 0; }
+    Relay* take() {
+        Relay* const relay = std::exchange(relay_, nullptr);
+        if (relay) relay->on = nullptr;
+        return relay;
+    }
+
+  private:
+    void opened(bool success) override {
+        if (!success) {
+            // Taken first, or another connection would be opened for it.
+            Upstream& upstream = upstream_;
+            Relay* const relay = upstream.nextWaiting();
+            upstream.drop(*this);
+            if (relay) upstream.shared_.owner.relayEnded(*relay, {Ending::noRoute, {}});
+            return;
+        }
+        up_ = true;
+        connection_.read(true);
+        rest();
+    }
+
+    void received(std::string_view bytes) override {
+        if (!relay_) return upstream_.drop(*this);  // nobody asked
+        if (http_) {
+            const auto state = http_->feed(bytes);
+            if (state == protocol::HttpAnswer::State::whole) return end(readHttp(), http_->keepsOpen());
+            if (state == protocol::HttpAnswer::State::broken) end({}, false);
+            return;
+        }
+        const auto state = decoder_.feed(bytes);
+        if (state == protocol::Decoder::State::whole)
+            return end(protocol::readCacheAnswer(decoder_.take()), bytes.empty());
+        if (state == protocol::Decoder::State::broken) end({}, false);
+    }
+
+    void ended() override {
+        if (!up_) return opened(false);
+        if (relay_ && http_ && written() && http_->end() == protocol::HttpAnswer::State::whole)
+            return end(readHttp(), false);
+        broke();
+    }
+
+    void broke() {
+        Upstream& upstream = upstream_;
+        const Ending ending = written() ? Ending::cut : Ending::noRoute;
+        Relay* const relay = take();
+        upstream.drop(*this);
+        if (relay) upstream.shared_.owner.relayEnded(*relay, {ending, {}});
+    }
+
+    void end(protocol::Outcome outcome, bool keep) {
+        Upstream& upstream = upstream_;
+        // An answer before the command was whole: what of it was read is not known.
+        keep = keep && written() && !stale();
+        Relay* const relay = take();
+        if (http_) http_->clear();
+        if (keep)
+            rest();
+        else
+            upstream.drop(*this);
+        upstream.shared_.owner.relayEnded(*relay, std::move(outcome));
+    }
+
+    void rest() {
+        idleSince_ = transport::Loop::now();
+        alarm_.set(idleSince_ + upstream_.shared_.keepIdle);
+        upstream_.tend();
+    }
+
+    protocol::Outcome readHttp() {
+        const int status = http_->status();
+        if (status == 200) return {Ending::answered, std::move(http_->body())};
+        const bool neverRan = (status == 503 || status == 504) && http_->neverRan();
+        return {neverRan ? Ending::noRoom : Ending::errored, {}};
+    }
+
+    Upstream& upstream_;
+    transport::Address address_;
+    transport::Connection connection_;
+    transport::Alarm alarm_;  // to be up by then; later, to have idled long enough
+    protocol::Decoder decoder_{{kLongestValue, 16, 3, 2 * kLongestValue, false}};
+    std::optional<protocol::HttpAnswer> http_;
+    Relay* relay_ = nullptr;
+    Nanos idleSince_ = 0;
+    bool up_ = false;
+};
+
+Relay::Relay(transport::Loop& loop, const protocol::Command& said, Upstream& to)
+    : said(said), to(to), alarm(loop, [this] { this->to.giveUp(*this); }) {}
+
+bool Links::makeRoom() {
+    if (count < most) return true;
+    Upstream* oldest = nullptr;
+    for (Upstream* u : upstreams)
+        if (u->longestIdle() > 0 && (!oldest || u->longestIdle() < oldest->longestIdle())) oldest = u;
+    if (!oldest) return false;
+    const auto it = std::min_element(oldest->links_.begin(), oldest->links_.end(), [](auto& a, auto& b) {
+        return std::pair(!a->idle(), a->idleSince()) < std::pair(!b->idle(), b->idleSince());
+    });
+    std::swap(*it, oldest->links_.back());
+    oldest->links_.pop_back();
+    --count;
+    return true;
+}
+
+void Links::roomCame() {
+    for (Upstream* u : upstreams)
+        if (!u->waiting_.empty()) u->tend();
+}
+
+Upstream::Upstream(Links& links, std::string name, bool origin)
+    : shared_(links), name_(std::move(name)), origin_(origin) {
+    shared_.upstreams.push_back(this);
+}
+
+Upstream::~Upstream() {
+    shared_.count -= links_.size();
+    std::erase(shared_.upstreams, this);
+}
+
+void Upstream::listed(Presence presence, const std::optional<transport::Address>& address,
+                      const std::string& host) {
+    presence_ = presence;
+    address_ = address;
+    host_ = host;
+    std::vector<Link*> stale;
+    for (auto& link : links_)
+        if (link->idle() && link->stale()) stale.push_back(link.get());
+    for (Link* link : stale) drop(*link);
+}
+
+void Upstream::send(Relay& relay) {
+    if (!address_) return shared_.owner.relayEnded(relay, {Ending::noRoute, {}});
+    relay.alarm.set(relay.giveUpAt);
+    waiting_.push_back(&relay);
+    tend();
+}
+
+// As many connections on their way as relays wait for one; whichever is free first takes the next relay.
+void Upstream::tend() {
+    while (!waiting_.empty()) {
+        Link* const link = idle();
+        if (!link) break;
+        link->begin(*nextWaiting());
+    }
+    std::size_t opening = 0;
+    for (auto& link : links_) opening += !link->up();
+    while (opening < waiting_.size() && address_ && shared_.makeRoom()) {
+        links_.push_back(std::make_unique<Link>(*this));
+        ++shared_.count;
+        ++opening;
+        Link& link = *links_.back();
+        if (link.open()) continue;
+        Relay* const relay = nextWaiting();
+        drop(link);
+        return shared_.owner.relayEnded(*relay, {Ending::noRoute, {}});
+    }
+}
+
+// The one used last, so that the others can reach their idle time.
+Link* Upstream::idle() {
+    Link* best = nullptr;
+    for (auto& link : links_)
+        if (link->idle() && (!best || link->idleSince() > best->idleSince())) best = link.get();
+    return best;
+}
+
+Nanos Upstream::longestIdle() const {
+    Nanos since = 0;
+    for (auto& link : links_)
+        if (link->idle() && (since == 0 || link->idleSince() < since)) since = link->idleSince();
+    return since;
+}
+
+Relay* Upstream::nextWaiting() {
+    if (waiting_.empty()) return nullptr;
+    Relay* const relay = waiting_.front();
+    waiting_.pop_front();
+    return relay;
+}
+
+void Upstream::giveUp(Relay& relay) {
+    if (!relay.on) {
+        std::erase(waiting_, &relay);
+        const bool opening = std::any_of(links_.begin(), links_.end(), [](auto& l) { return !l->up(); });
+        return shared_.owner.relayEnded(relay, {opening ? Ending::noRoute : Ending::notSent, {}});
+    }
+    // Closed before the module hears of it: a next relay must not go while this one is still out.
+    const Ending ending = relay.on->written() ? Ending::timedOut : Ending::noRoute;
+    Link& link = *relay.on;
+    link.take();
+    drop(link);
+    shared_.owner.relayEnded(relay, {ending, {}});
+}
+
+void Upstream::drop(Link& link) {
+    const auto it = std::find_if(links_.begin(), links_.end(), [&](auto& l) { return l.get() == &link; });
+    const auto gone = std::move(*it);
+    links_.erase(it);
+    --shared_.count;
+    shared_.roomCame();
+}
+
+}  // namespace poppyscale::routing
--- /dev/null
+++ b/src/routing/upstream.hpp
@@ -0,0 +1,88 @@
+// The connections to one cache or to the origin, and the relays that are out on them.
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "logic.hpp"
+#include "protocol/command.hpp"
+#include "transport/connection.hpp"
+
+namespace poppyscale::routing {
+
+struct Command;
+class Link;
+class Upstream;
+struct Relay;
+
+class RelayOwner {
+  public:
+    virtual ~RelayOwner() = default;
+    // The relay is gone after this.
+    virtual void relayEnded(Relay& relay, protocol::Outcome outcome) = 0;
+};
+
+struct Relay {
+    Relay(transport::Loop& loop, const protocol::Command& said, Upstream& to);
+    CommandId command = 0;
+    const protocol::Command& said;
+    Upstream& to;
+    int number = 0;
+    Nanos sentAt = 0;
+    Nanos giveUpAt = 0;
+    Link* on = nullptr;  // null while it waits for a connection
+    transport::Alarm alarm;
+};
+
+// What all upstreams of a router share: the loop, and how many connections there may be.
+struct Links {
+    transport::Loop& loop;
+    transport::Pool& pool;
+    RelayOwner& owner;
+    std::size_t most = 0;
+    Nanos keepIdle = 0;
+    Nanos connectWithin = 0;
+    std::vector<Upstream*> upstreams;
+    std::size_t count = 0;
+
+    bool makeRoom();      // closes the connection that has idled longest, if it must
+    void roomCame();      // for the relays that wait for some
+};
+
+class Upstream {
+  public:
+    Upstream(Links& links, std::string name, bool origin);
+    ~Upstream();
+    Upstream(const Upstream&) = delete;
+    Upstream& operator=(const Upstream&) = delete;
+
+    void listed(Presence presence, const std::optional<transport::Address>& address, const std::string& host);
+    void send(Relay& relay);
+    bool unused() const { return presence_ == Presence::gone && links_.empty() && waiting_.empty(); }
+
+  private:
+    friend class Link;
+    friend struct Links;
+    friend struct Relay;
+
+    void tend();
+    void giveUp(Relay& relay);
+    void drop(Link& link);  // which is gone after this
+    Relay* nextWaiting();
+    Link* idle();
+    Nanos longestIdle() const;
+
+    Links& shared_;
+    std::string name_;
+    bool origin_;
+    Presence presence_ = Presence::gone;
+    std::optional<transport::Address> address_;
+    std::string host_;
+    std::vector<std::unique_ptr<Link>> links_;
+    std::deque<Relay*> waiting_;
+};
+
+}  // namespace poppyscale::routing
--- /dev/null
+++ b/src/routing/watch.cpp
@@ -0,0 +1,89 @@
+#include "routing/watch.hpp"
+
+#include <fmt/format.h>
+
+namespace poppyscale::routing {
+namespace {
+
+constexpr Nanos kMillisecond = 1'000'000;
+constexpr std::size_t kLongestList = 8 * 1024 * 1024;
+// Past the wait by more than this, whatever discovery had to tell counts as told.
+constexpr Nanos kGrace = 2'000 * kMillisecond;
+
+}  // namespace
+
+Watch::Watch(transport::Loop& loop, transport::Pool& pool, Core& core, transport::Address at, std::string host,
+             std::int64_t version, Nanos wait, Log log)
+    : loop_(loop),
+      pool_(pool),
+      core_(core),
+      at_(at),
+      host_(std::move(host)),
+      version_(version),
+      wait_(wait),
+      log_(std::move(log)),
+      answer_(kLongestList),
+      limit_(loop, [this] { fail("no answer in time"); }) {}
+
+void Watch::want() {
+    if (!calling_) call();
+}
+
+void Watch::call() {
+    calling_ = true;
+    answer_.clear();
+    limit_.set(transport::Loop::now() + wait_ + kGrace);
+    if (connection_) return write();
+    transport::Connection::Owner& self = *this;
+    connection_ = std::make_unique<transport::Connection>(loop_, pool_, self);
+    if (!connection_->open(at_)) fail("can't connect");
+}
+
+void Watch::opened(bool up) {
+    if (!up) return fail("can't connect");
+    connection_->read(true);
+    write();
+}
+
+void Watch::write() {
+    const auto call = fmt::format("GET /api/targets?after={}&wait_ms={} HTTP/1.1\r\nHost: {}\r\n\r\n", version_,
+                                  wait_ / kMillisecond, host_);
+    if (!connection_->write(call)) fail("the connection broke");
+}
+
+void Watch::received(std::string_view bytes) {
+    if (!calling_) return connection_.reset();
+    const auto state = answer_.feed(bytes);
+    if (state == protocol::HttpAnswer::State::whole) return answered();
+    if (state == protocol::HttpAnswer::State::broken) fail("an answer that is not HTTP");
+}
+
+void Watch::ended() {
+    if (!calling_) return connection_.reset();
+    if (answer_.end() == protocol::HttpAnswer::State::whole) return answered();
+    fail("the connection ended");
+}
+
+void Watch::answered() {
+    if (!answer_.keepsOpen()) connection_.reset();
+    if (answer_.status() != 200) return fail(fmt::format("answered {}", answer_.status()));
+    try {
+        const auto roster = protocol::readRoster(answer_.body());
+        version_ = roster.version;
+        core_.listed(roster.full ? NewsKind::whole : NewsKind::changes, roster);
+    } catch (const protocol::Malformed& problem) {
+        return fail(problem.what());
+    }
+    // At once: a later call would begin a new watch.
+    call();
+}
+
+void Watch::fail(std::string_view why) {
+    log_(fmt::format("the list could not be had from discovery: {}", why));
+    calling_ = false;
+    limit_.clear();
+    connection_.reset();
+    core_.listFailed();
+}
+
+}  // namespace poppyscale::routing
--- /dev/null
+++ b/src/routing/watch.hpp
@@ -0,0 +1,45 @@
+// The watch on discovery's list: one call after the other, each told to the core.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "protocol/http.hpp"
+#include "routing/core.hpp"
+#include "transport/connection.hpp"
+
+namespace poppyscale::routing {
+
+class Watch : private transport::Connection::Owner {
+  public:
+    Watch(transport::Loop& loop, transport::Pool& pool, Core& core, transport::Address at, std::string host,
+          std::int64_t version, Nanos wait, Log log);
+
+    // After a failure nothing is asked until this is called again: when to is the module's decision.
+    void want();
+
+  private:
+    void opened(bool up) override;
+    void received(std::string_view bytes) override;
+    void ended() override;
+
+    void call();
+    void write();
+    void answered();
+    void fail(std::string_view why);
+
+    transport::Loop& loop_;
+    transport::Pool& pool_;
+    Core& core_;
+    transport::Address at_;
+    std::string host_;
+    std::int64_t version_;
+    Nanos wait_;
+    Log log_;
+    bool calling_ = false;
+    protocol::HttpAnswer answer_;
+    transport::Alarm limit_;
+    std::unique_ptr<transport::Connection> connection_;
+};
+
+}  // namespace poppyscale::routing
--- /dev/null
+++ b/src/transport/connection.hpp
@@ -0,0 +1,52 @@
+// A TCP connection, ours or a client's. Closed when it is destroyed, which its owner may do in any call.
+#pragma once
+
+#include <netinet/in.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "transport/loop.hpp"
+#include "transport/pool.hpp"
+
+namespace poppyscale::transport {
+
+using Address = sockaddr_in;
+
+// "10.1.0.18:6379"; nothing when it is not of that form.
+std::optional<Address> parseAddress(const std::string& text);
+bool sameAddress(const Address& a, const Address& b);
+
+class Connection {
+  public:
+    class Owner {
+      public:
+        virtual ~Owner() = default;
+        virtual void opened(bool /*up*/) {}
+        virtual void received(std::string_view bytes) = 0;
+        virtual void ended() = 0;  // by the peer or by an error
+        virtual void emptied() {}  // all that was written is with the kernel
+    };
+
+    Connection(Loop& loop, Pool& pool, Owner& owner);
+    ~Connection();
+    Connection(const Connection&) = delete;
+    Connection& operator=(const Connection&) = delete;
+
+    bool open(const Address& to);        // then `opened`
+    bool accept(uv_stream_t* listener);  // from a listener's call
+    bool adopt(int descriptor);          // one accepted by hand
+    void read(bool on);
+    // False when the peer is gone or the pool is empty; the connection is of no further use then.
+    bool write(std::string_view bytes);
+    std::size_t unsent() const;
+    void finishSending();  // after what is written; reading goes on
+    bool bytesWait() const;  // something stands in the kernel that was not read
+
+  private:
+    struct Handle;
+    Handle* handle_;
+};
+
+}  // namespace poppyscale::transport
--- /dev/null
+++ b/src/transport/loop.cpp
@@ -0,0 +1,83 @@
+#include "transport/loop.hpp"
+
+#include <algorithm>
+#include <new>
+
+namespace poppyscale::transport {
+namespace {
+
+constexpr Nanos kMillisecond = 1'000'000;
+constexpr Nanos kSetForward = 1'000'000 * kMillisecond * 1000;  // eleven days
+
+}  // namespace
+
+Loop::Loop() {
+    if (uv_loop_init(&loop_) != 0) throw std::bad_alloc();
+    uv_prepare_init(&loop_, &prepare_);
+    uv_check_init(&loop_, &check_);
+    uv_timer_init(&loop_, &timer_);
+    prepare_.data = check_.data = timer_.data = this;
+}
+
+Loop::~Loop() {
+    for (auto* handle : {reinterpret_cast<uv_handle_t*>(&prepare_), reinterpret_cast<uv_handle_t*>(&check_),
+                         reinterpret_cast<uv_handle_t*>(&timer_)})
+        uv_close(handle, nullptr);
+    // Handles close in a turn of their own.
+    uv_run(&loop_, UV_RUN_DEFAULT);
+    uv_loop_close(&loop_);
+}
+
+Nanos Loop::now() { return static_cast<Nanos>(uv_hrtime()) + kSetForward; }
+
+void Loop::run() {
+    uv_prepare_start(&prepare_, [](uv_prepare_t* h) { static_cast<Loop*>(h->data)->beforePoll(); });
+    uv_check_start(&check_, [](uv_check_t* h) { static_cast<Loop*>(h->data)->afterPoll(); });
+    uv_run(&loop_, UV_RUN_DEFAULT);
+    uv_prepare_stop(&prepare_);
+    uv_check_stop(&check_);
+    uv_timer_stop(&timer_);
+}
+
+void Loop::beforePoll() {
+    if (handOver_) handOver_();
+    if (alarms_.empty()) return void(uv_timer_stop(&timer_));
+    // The timer only ends the poll: alarms ring after it, so that an answer that has come in is read before its
+    // relay is given up. libuv counts whole milliseconds from a time it keeps; too early a one is set again.
+    uv_update_time(&loop_);
+    const Nanos left = std::max<Nanos>(alarms_.begin()->first - now(), 0);
+    const auto wait = static_cast<std::uint64_t>((left + kMillisecond - 1) / kMillisecond);
+    uv_timer_start(&timer_, [](uv_timer_t*) {}, wait, 0);
+}
+
+void Loop::afterPoll() {
+    ring();
+    if (handOver_) handOver_();
+}
+
+void Loop::ring() {
+    // What rings may set alarms: those that fall due at once wait for the next turn.
+    const Nanos until = now();
+    while (!alarms_.empty() && alarms_.begin()->first <= until) {
+        Alarm* const alarm = alarms_.begin()->second;
+        alarms_.erase(alarms_.begin());
+        alarm->at_ = 0;
+        const auto ring = alarm->ring_;  // the alarm may be destroyed by what it rings for
+        ring();
+    }
+}
+
+void Alarm::set(Nanos at) {
+    if (at == at_) return;
+    clear();
+    at_ = std::max<Nanos>(at, 1);
+    loop_.alarms_.emplace(at_, this);
+}
+
+void Alarm::clear() {
+    if (at_ == 0) return;
+    loop_.alarms_.erase({at_, this});
+    at_ = 0;
+}
+
+}  // namespace poppyscale::transport
--- /dev/null
+++ b/src/transport/loop.hpp
@@ -0,0 +1,64 @@
+// The event loop: one thread, one clock, alarms in nanoseconds, and a call around each poll.
+#pragma once
+
+#include <uv.h>
+
+#include <functional>
+#include <set>
+#include <utility>
+
+#include "logic.hpp"
+
+namespace poppyscale::transport {
+
+class Alarm;
+
+class Loop {
+  public:
+    Loop();
+    ~Loop();
+    Loop(const Loop&) = delete;
+    Loop& operator=(const Loop&) = delete;
+
+    // The monotonic clock, set forward so that a machine that has just booted can still name times before.
+    static Nanos now();
+    uv_loop_t* raw() { return &loop_; }
+    // Called before the poll and after it: libuv runs timers before polling, and what they bring must not
+    // wait until something comes in on a socket.
+    void eachTurn(std::function<void()> handOver) { handOver_ = std::move(handOver); }
+    void run();
+    void stop() { uv_stop(&loop_); }
+
+  private:
+    friend class Alarm;
+    void beforePoll();
+    void afterPoll();
+    void ring();
+
+    uv_loop_t loop_{};
+    uv_prepare_t prepare_{};
+    uv_check_t check_{};
+    uv_timer_t timer_{};
+    std::function<void()> handOver_;
+    std::set<std::pair<Nanos, Alarm*>> alarms_;
+};
+
+// Rings once for each time it is set.
+class Alarm {
+  public:
+    Alarm(Loop& loop, std::function<void()> ring) : loop_(loop), ring_(std::move(ring)) {}
+    ~Alarm() { clear(); }
+    Alarm(const Alarm&) = delete;
+    Alarm& operator=(const Alarm&) = delete;
+
+    void set(Nanos at);
+    void clear();
+
+  private:
+    friend class Loop;
+    Loop& loop_;
+    std::function<void()> ring_;
+    Nanos at_ = 0;
+};
+
+}  // namespace poppyscale::transport
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -4,13 +4,11 @@
 #include <charconv>
 #include <cmath>
 #include <limits>
-#include <unordered_map>
 
 namespace poppyscale::wire {
 namespace {
 
 constexpr std::int64_t kNanosPerMicro = 1000;
-constexpr std::int64_t kLongestMicros = 1'000'000'000'000;  // a setting's time span: eleven days
 // Far past any clock, and a few of them still add up without overflow.
 constexpr std::int64_t kMostMicros = std::numeric_limits<std::int64_t>::max() / kNanosPerMicro / 8;
 
@@ -43,10 +41,6 @@
                                                                        {"undone", Ending::undone},
                                                                        {"stale_send", Ending::notSent},
                                                                        {"none_here", Ending::noneHere}}};
-constexpr std::array<std::pair<std::string_view, Effect>, 3> kEffects{
-    {{"free", Effect::pure}, {"guarded", Effect::receipted}, {"single_shot", Effect::effectful}}};
-constexpr std::array<std::pair<std::string_view, Group>, 3> kGroups{
-    {{"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}}};
 
 template <class T>
 std::optional<T> parse(std::string_view value) {
@@ -61,54 +55,6 @@
     return real && std::isfinite(*real) ? real : std::nullopt;
 }
 
-// The settings of one CONFIGURE, looked up by path.
-class Paths {
-  public:
-    explicit Paths(const Line& line) : line_(line) {
-        for (const auto& [path, value] : line.parts()) values_.emplace(path, value);
-    }
-    std::string_view text(const std::string& path) const {
-        const auto it = values_.find(path);
-        if (it == values_.end()) throw Malformed("CONFIGURE: missing setting " + path);
-        return it->second;
-    }
-    double real(const std::string& path) const {
-        if (const auto value = parseReal(text(path))) return *value;
-        throw Malformed("CONFIGURE: setting " + path + " is not a number");
-    }
-    std::int64_t whole(const std::string& path, std::int64_t most) const {
-        const auto value = parse<std::int64_t>(text(path));
-        if (value && *value >= 0 && *value <= most) return *value;
-        throw Malformed("CONFIGURE: setting " + path + " is not a whole number in its range");
-    }
-    bool has(const std::string& path) const { return values_.contains(path); }
-    Nanos time(const std::string& path) const { return whole(path, kLongestMicros) * kNanosPerMicro; }
-    bool yes(const std::string& path) const {
-        const auto value = text(path);
-        if (value == "true" || value == "1") return true;
-        if (value == "false" || value == "0") return false;
-        throw Malformed("CONFIGURE: setting " + path + " is neither true nor false");
-    }
-    template <class T, std::size_t N>
-    T word(const std::array<std::pair<std::string_view, T>, N>& words, const std::string& path) const {
-        if (const T* value = lookUp(words, text(path))) return *value;
-        throw Malformed("CONFIGURE: setting " + path + " has an unknown value");
-    }
-
-  private:
-    const Line& line_;
-    std::unordered_map<std::string_view, std::string_view> values_;
-};
-
-std::string_view item(std::string_view list, std::int64_t index) {
-    for (; index > 0; --index) {
-        const auto comma = list.find(',');
-        if (comma == std::string_view::npos) return {};
-        list.remove_prefix(comma + 1);
-    }
-    return list.substr(0, list.find(','));
-}
-
 }  // namespace
 
 void Line::split(std::string_view text) {
@@ -176,47 +122,15 @@
 }
 
 Terms readTerms(const Line& configure) {
-    const Paths paths(configure);
-    Terms terms;
+    protocol::Paths paths;
+    for (const auto& [path, value] : configure.parts()) paths.add(std::string(path), std::string(value));
     const auto seed = parse<std::uint64_t>(configure.text("seed"));
     if (!seed) throw Malformed("CONFIGURE has a field that is not a whole number: seed");
-    terms.seed = *seed;
-    terms.routers = static_cast<int>(paths.whole("replicasOfMe", 1'000'000));
-    if (terms.routers == 0) throw Malformed("CONFIGURE: setting replicasOfMe is 0");
-    terms.aside = paths.text("familyInfo.mode") == "aside";
-    if (terms.aside) {
-        const auto shape = paths.whole("familyInfo.originKind", 1'000'000);
-        terms.originShape = item(paths.text("shapes"), shape);
-    }
-    terms.listOnRequest = paths.text("membershipMode") == "on_request";
-    if (terms.listOnRequest) terms.askWithin = paths.time("rules.askWithinUs");
-    terms.comeBackAllowed = paths.yes("allowed.retryAfter");
-    if (terms.comeBackAllowed) terms.maxComeBack = paths.time("allowed.maxRetryAfterUs");
-    terms.maxRelays = static_cast<int>(paths.whole("allowed.maxRelays", 1'000'000));
-    terms.startShare = paths.real("rules.startCapacity");
-    terms.ramp = paths.time("rules.rampTimeUs");
-    terms.tipMultiple = paths.real("rules.tipMultiple");
-    terms.fallSpan = paths.time("rules.fallUs");
-    const auto verbs = paths.whole("verbs.count", 10'000);
-    for (std::int64_t i = 0; i < verbs; ++i) {
-        const std::string at = "verbs." + std::to_string(i) + ".";
-        Verb verb;
-        verb.name = paths.text(at + "name");
-        verb.effect = paths.word(kEffects, at + "effect");
-        if (verb.effect == Effect::receipted) {
-            verb.group = paths.word(kGroups, at + "group");
-            verb.remembered = paths.time(at + "keyTtlUs");
-        }
-        verb.goal = paths.time(at + "responseGoalUs");
-        verb.utility = paths.real(at + "utility");
-        terms.verbs.push_back(std::move(verb));
-    }
-    const auto customers = paths.has("orgs.count") ? paths.whole("orgs.count", 10'000) : 0;
-    for (std::int64_t i = 0; i < customers; ++i) {
-        const std::string at = "orgs." + std::to_string(i) + ".";
-        terms.customers.push_back({std::string(paths.text(at + "name")), paths.real(at + "quotaPerS")});
+    try {
+        return protocol::readTerms(paths, *seed);
+    } catch (const Malformed& problem) {
+        throw Malformed("CONFIGURE: " + std::string(problem.what()));
     }
-    return terms;
 }
 
 Listed readEntry(const Line& entry) {
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -2,20 +2,17 @@
 #pragma once
 
 #include <optional>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
 #include "logic.hpp"
+#include "protocol/terms.hpp"
 
 namespace poppyscale::wire {
 
-// A line that can't be taken; its text is one plain line for the operator.
-struct Malformed : std::runtime_error {
-    using std::runtime_error::runtime_error;
-};
+using protocol::Malformed;
 
 enum class Kind { mark, turn, configure, table, announce, accept, aborted, verdict, reminder, stop, other };
 
