--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# The usual calls; CMake does the work. PACKAGES are Debian's.
+PACKAGES = libuv1-dev libhttp-parser-dev libfmt-dev nlohmann-json3-dev pkg-config doctest-dev
+SOURCES = $(shell git ls-files 'src/*.cpp' 'src/*.hpp' 'tests/*.cpp' 'tests/*.hpp')
+
+.PHONY: build test lint run install-packages clean
+
+build:
+	cmake -B build -DCMAKE_BUILD_TYPE=Release
+	cmake --build build -j4
+
+test:
+	cmake -B build-test -DPOPPYSCALE_TESTS=ON -DCMAKE_BUILD_TYPE=Debug
+	cmake --build build-test -j4
+	ctest --test-dir build-test --output-on-failure
+
+lint:
+	clang-format --dry-run --Werror $(SOURCES)
+	cppcheck --enable=warning,performance,portability --error-exitcode=1 --inline-suppr --quiet \
+	    --suppress=missingIncludeSystem --std=c++20 -I src src
+
+run: build
+	ROUTER_CONFIG=$${ROUTER_CONFIG:-examples/config.json} build/poppyscale
+
+install-packages:
+	apt-get install -y $(PACKAGES)
+
+clean:
+	rm -rf build build-test
--- a/src/program/logger.cpp
+++ b/src/program/logger.cpp
@@ -18,7 +18,8 @@
 
 void Logger::line(std::string_view text) {
     const auto now = transport::Loop::now();
-    allowance_ = std::min(kMostAtOnce, allowance_ + kLinesPerSecond * static_cast<double>(now - filledAt_) / 1e9);
+    allowance_ =
+        std::min(kMostAtOnce, allowance_ + kLinesPerSecond * static_cast<double>(now - filledAt_) / 1e9);
     filledAt_ = now;
     // A log that nobody reads must not hold up the loop.
     pollfd out{STDERR_FILENO, POLLOUT, 0};
--- a/src/program/program.cpp
+++ b/src/program/program.cpp
@@ -1,6 +1,7 @@
 #include "program/program.hpp"
 
 #include <fmt/format.h>
+#include <sys/resource.h>
 
 #include <algorithm>
 
@@ -14,7 +15,7 @@
 constexpr Nanos kLastAnswers = 200 * kMillisecond;
 constexpr Nanos kMostWait = 20'000 * kMillisecond;  // of a call to discovery
 constexpr Nanos kLeastWait = 1'000 * kMillisecond;
-constexpr std::size_t kOwnDescriptors = 32;   // standard streams, loop, signals, listener, discovery
+constexpr std::size_t kOwnDescriptors = 32;          // standard streams, loop, signals, listener, discovery
 constexpr std::size_t kMemoryOfClient = 128 * 1024;  // a half-sent command and what its decoder holds
 
 std::size_t mostClients(const protocol::Start& start) {
@@ -32,10 +33,19 @@
 Program::Program(protocol::Start start)
     : start_(std::move(start)), pool_(start_.memory / 8 / transport::kBufferSize) {
     const auto log = [this](std::string_view text) { logger_.line(text); };
+    // A descriptor more than the system gives would end in refused clients.
+    rlimit files{};
+    if (getrlimit(RLIMIT_NOFILE, &files) == 0) {
+        files.rlim_cur =
+            std::min<rlim_t>(std::max<rlim_t>(files.rlim_cur, start_.descriptors), files.rlim_max);
+        setrlimit(RLIMIT_NOFILE, &files);
+        start_.descriptors =
+            std::max<std::size_t>(std::min<std::size_t>(start_.descriptors, files.rlim_cur), 64);
+    }
     const auto listen = addressOf(start_.listen, "listen");
     const auto discovery = addressOf(start_.discovery, "discovery");
     core_.emplace(loop_, pool_, start_, log);
-    clients_.emplace(loop_, pool_, *core_, mostClients(start_));
+    clients_.emplace(loop_, pool_, *core_, mostClients(start_), start_.memory / 8);
     // What discovery holds back for a call that waits counts as told soon after; the shorter the wait, the
     // sooner a silent discovery is noticed.
     const Nanos wait = std::clamp(start_.terms.askWithin, kLeastWait, kMostWait);
@@ -43,7 +53,8 @@
     core_->askForList = [this] { watch_->want(); };
     next_.emplace(loop_, [this] { enter(state_ == State::leaving ? State::draining : State::done); });
     const std::string problem = clients_->listen(listen);
-    if (!problem.empty()) throw protocol::Malformed(fmt::format("can't listen on {}: {}", start_.listen, problem));
+    if (!problem.empty())
+        throw protocol::Malformed(fmt::format("can't listen on {}: {}", start_.listen, problem));
     watchSignals();
 }
 
--- a/src/program/program.hpp
+++ b/src/program/program.hpp
@@ -23,8 +23,8 @@
     int run();
 
   private:
-    // serving: until told to stop. leaving: told, but clients still come. draining: no new ones, what was taken
-    // is answered. done: nothing is owed any more, or the time for it is over.
+    // serving: until told to stop. leaving: told, but clients still come. draining: no new ones, what was
+    // taken is answered. done: nothing is owed any more, or the time for it is over.
     enum class State : std::uint8_t { starting, serving, leaving, draining, done };
 
     void enter(State state);
--- a/src/protocol/command.cpp
+++ b/src/protocol/command.cpp
@@ -23,7 +23,8 @@
     while (!info.empty()) {
         const auto item = info.substr(0, info.find(','));
         const auto equals = item.find('=');
-        visit(item.substr(0, equals), equals == item.npos ? std::string_view{} : item.substr(equals + 1), item);
+        visit(item.substr(0, equals), equals == item.npos ? std::string_view{} : item.substr(equals + 1),
+              item);
         info.remove_prefix(std::min(info.size(), item.size() + 1));
     }
 }
@@ -119,7 +120,8 @@
 
 Outcome readCacheAnswer(Value answer) {
     if (answer.kind == Value::Kind::error)
-        return {answer.text == "BUSY" || answer.text.starts_with("BUSY ") ? Ending::noRoom : Ending::errored, {}};
+        return {answer.text == "BUSY" || answer.text.starts_with("BUSY ") ? Ending::noRoom : Ending::errored,
+                {}};
     if (answer.kind != Value::Kind::array || answer.items.empty()) return {};
     Value& first = answer.items[0];
     if (first.kind == Value::Kind::null) return {Ending::noneHere, {}};
--- a/src/protocol/discovery.cpp
+++ b/src/protocol/discovery.cpp
@@ -35,7 +35,8 @@
     listed.shape = entry.value("kind", "");
     listed.cell = entry.value("cell", std::int64_t{0});
     listed.size = entry.value("weight", 1.0);
-    if (!std::isfinite(listed.size) || listed.size < 0) throw Malformed("an entry with a weight out of range");
+    if (!std::isfinite(listed.size) || listed.size < 0)
+        throw Malformed("an entry with a weight out of range");
     place.address = entry.value("addr", "");
     place.startedMs = entry.value("started_ms", std::int64_t{0});
     // Far past any clock; times ten to the sixth it must not overflow.
@@ -105,8 +106,8 @@
         start.connectWithin = paths.time("allowed.connectTimeoutUs");
         start.mostOpen = static_cast<std::size_t>(paths.whole("allowed.maxOpen", 100'000'000));
         for (std::size_t i = 0; i < start.terms.verbs.size(); ++i)
-            start.longestPatience = std::max(
-                start.longestPatience, paths.time("verbs." + std::to_string(i) + ".timeLimitUs"));
+            start.longestPatience =
+                std::max(start.longestPatience, paths.time("verbs." + std::to_string(i) + ".timeLimitUs"));
         return start;
     });
 }
--- a/src/protocol/discovery.hpp
+++ b/src/protocol/discovery.hpp
@@ -33,12 +33,12 @@
     std::string discovery;
     Terms terms;
     Roster known;
-    Nanos idle = 0;            // after which caches close a connection
-    Nanos connectWithin = 0;   // a connection that is not up by then won't be
-    Nanos longestPatience = 0; // of any verb's client
-    std::size_t mostOpen = 0;  // commands at once
+    Nanos idle = 0;             // after which caches close a connection
+    Nanos connectWithin = 0;    // a connection that is not up by then won't be
+    Nanos longestPatience = 0;  // of any verb's client
+    std::size_t mostOpen = 0;   // commands at once
     std::size_t descriptors = 0;
-    std::size_t memory = 0;    // bytes
+    std::size_t memory = 0;  // bytes
 };
 
 Start readStart(std::string_view json);
--- a/src/protocol/resp.hpp
+++ b/src/protocol/resp.hpp
@@ -21,8 +21,8 @@
   public:
     struct Bounds {
         std::size_t bulk = 64 * 1024;
-        std::size_t items = 64;   // of one array
-        std::size_t depth = 3;    // arrays within arrays
+        std::size_t items = 64;          // of one array
+        std::size_t depth = 3;           // arrays within arrays
         std::size_t whole = 256 * 1024;  // bytes of one value with all it holds
         bool onlyCommands = false;       // an array of bulk strings and nothing else
     };
--- a/src/routing/clients.cpp
+++ b/src/routing/clients.cpp
@@ -36,6 +36,7 @@
           patience_(clients.loop_, [this] { clients_.drop(*this); }) {}
 
     ~Client() override {
+        clients_.ready_ -= ready_;
         for (auto& slot : line_)
             if (slot.command) clients_.core_.left(*slot.command);
     }
@@ -44,6 +45,7 @@
     std::list<std::unique_ptr<Client>>::iterator place;
 
     void start() { connection_.read(true); }
+    std::size_t holds() const { return ready_ + connection_.unsent(); }
     bool owed() const { return !line_.empty() || connection_.unsent() > 0; }
     bool idle() const { return !owed() && !decoder_.within() && !ending_; }
     // What has come in but was not read yet would be lost with the connection.
@@ -55,7 +57,7 @@
         explicit Slot(Client& client) : client(client) {}
         void tell(Final final) override {
             command = nullptr;
-            answer = wordsOf(final);
+            client.answer(*this, wordsOf(final));
             client.flush();
         }
         Client& client;
@@ -82,21 +84,28 @@
             Slot& slot = line_.emplace_back(*this);
             slot.command = clients_.core_.take(slot, std::move(std::get<protocol::Command>(said)), now);
             // Over the number that may be open; never sent, so that trying again is harmless.
-            if (!slot.command) slot.answer = "-BUSY\r\n";
+            if (!slot.command) answer(slot, "-BUSY\r\n");
         }
         flush();
     }
 
     void reply(std::string text, bool thenEnd) {
         Slot& slot = line_.emplace_back(*this);
-        slot.answer = std::move(text);
+        answer(slot, std::move(text));
         slot.thenEnd = ending_ = thenEnd;
     }
 
+    void answer(Slot& slot, std::string text) {
+        ready_ += text.size();
+        clients_.ready_ += text.size();
+        slot.answer = std::move(text);
+    }
+
     void ended() override { clients_.drop(*this); }
     void emptied() override { flush(); }
 
     void flush() {
+        if (!clients_.relieve(*this)) return;
         std::string out;
         bool end = false;
         while (!line_.empty() && line_.front().answer && !end) {
@@ -104,7 +113,11 @@
             end = line_.front().thenEnd;
             line_.pop_front();
         }
-        if (!out.empty() && !connection_.write(out)) return clients_.drop(*this);
+        if (!out.empty()) {
+            clients_.ready_ -= out.size();
+            ready_ -= out.size();
+            if (!connection_.write(out)) return clients_.drop(*this);
+        }
         if (end) {
             // Closed at once, unread bytes would reset the connection under the last answer.
             connection_.finishSending();
@@ -127,22 +140,26 @@
     transport::Alarm patience_;
     protocol::Decoder decoder_{kBounds};
     std::list<Slot> line_;
-    bool ending_ = false;  // nothing more is read of it
-    bool waits_ = false;   // for the client to read, or to finish what it has begun
+    std::size_t ready_ = 0;  // bytes of answers that stand behind one still to come
+    bool ending_ = false;    // nothing more is read of it
+    bool waits_ = false;     // for the client to read, or to finish what it has begun
 };
 
-Clients::Clients(transport::Loop& loop, transport::Pool& pool, Core& core, std::size_t most)
+Clients::Clients(transport::Loop& loop, transport::Pool& pool, Core& core, std::size_t most,
+                 std::size_t mostReady)
     : loop_(loop),
       pool_(pool),
       core_(core),
       most_(most),
+      mostReady_(mostReady),
       listener_(std::make_unique<transport::Listener>(loop, [this](const auto& finish) { admit(finish); })) {}
 
 Clients::~Clients() = default;
 
 void Clients::admit(const std::function<bool(transport::Connection&)>& finish) {
     if (clients_.size() >= most_) {
-        const auto idle = std::find_if(clients_.begin(), clients_.end(), [](auto& c) { return c->mayClose(); });
+        const auto idle =
+            std::find_if(clients_.begin(), clients_.end(), [](auto& c) { return c->mayClose(); });
         if (idle != clients_.end()) clients_.erase(idle);
     }
     auto made = std::make_unique<Client>(*this);
@@ -161,6 +178,20 @@
         (*it)->mayClose() ? it = clients_.erase(it) : ++it;
 }
 
+// Who doesn't read, or has many answers stand behind one that doesn't come, fills the machine. Who holds most
+// goes, and a quarter of the buffers is left for writing to the caches.
+bool Clients::relieve(const Client& writing) {
+    while (pool_.left() < pool_.most() / 4 || ready_ > mostReady_) {
+        const auto most = std::max_element(clients_.begin(), clients_.end(),
+                                           [](auto& a, auto& b) { return a->holds() < b->holds(); });
+        if (most == clients_.end() || (*most)->holds() == 0) return true;
+        const bool itself = most->get() == &writing;
+        clients_.erase(most);
+        if (itself) return false;
+    }
+    return true;
+}
+
 void Clients::drop(Client& client) { clients_.erase(client.place); }
 
 }  // namespace poppyscale::routing
--- a/src/routing/clients.hpp
+++ b/src/routing/clients.hpp
@@ -16,7 +16,8 @@
 
 class Clients {
   public:
-    Clients(transport::Loop& loop, transport::Pool& pool, Core& core, std::size_t most);
+    Clients(transport::Loop& loop, transport::Pool& pool, Core& core, std::size_t most,
+            std::size_t mostReady);
     ~Clients();
 
     std::string listen(const transport::Address& at) { return listener_->listen(at); }
@@ -29,11 +30,15 @@
     friend class Client;
     void admit(const std::function<bool(transport::Connection&)>& finish);
     void drop(Client& client);  // which is gone after this
+    // False when `writing` itself had to go.
+    bool relieve(const Client& writing);
 
     transport::Loop& loop_;
     transport::Pool& pool_;
     Core& core_;
     std::size_t most_;
+    std::size_t mostReady_;
+    std::size_t ready_ = 0;  // bytes of answers that can't go out yet, over all clients
     bool closing_ = false;
     std::unique_ptr<transport::Listener> listener_;
     std::list<std::unique_ptr<Client>> clients_;  // the one heard of longest ago comes first
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -27,7 +27,8 @@
 Core::Core(transport::Loop& loop, transport::Pool& pool, protocol::Start& start, Log log)
     : loop_(loop),
       log_(std::move(log)),
-      // Caches close an idle connection at the settings' time at the latest: well before it none crosses that.
+      // Caches close an idle connection at the settings' time at the latest: well before it none crosses
+      // that.
       links_{loop, pool, *this, start.descriptors * 2 / 5, start.idle / 2, start.connectWithin, {}, 0},
       mostOpen_(start.mostOpen),
       mostHeld_(start.memory / 8),
@@ -103,8 +104,7 @@
 void Core::handOver(const Event& event) {
     if (const auto* arrived = std::get_if<Arrived>(&event.what)) {
         const Command& c = *arrived->command;
-        router_.arrival(event.at,
-                        {c.id, c.said.verb, c.said.customer, c.said.key, c.giveUpAt, c.said.write});
+        router_.arrival(event.at, {c.id, c.said.verb, c.said.customer, c.said.key, c.giveUpAt, c.said.write});
     } else if (const auto* ended = std::get_if<Ended>(&event.what)) {
         RelayEnd end = ended->end;
         const auto it = commands_.find(end.id);
@@ -160,8 +160,7 @@
 void Core::relayEnded(Relay& relay, protocol::Outcome outcome) {
     Command& command = *commands_.at(relay.command);
     const Nanos now = transport::Loop::now();
-    events_.push_back(
-        {now, Ended{{command.id, relay.number, outcome.ending, false, now - relay.sentAt}}});
+    events_.push_back({now, Ended{{command.id, relay.number, outcome.ending, false, now - relay.sentAt}}});
     command.out.reset();
     if (outcome.ending == Ending::answered)
         tell(command, {Final::Kind::answered, std::move(outcome.value), 0});
--- a/src/routing/upstream.cpp
+++ b/src/routing/upstream.cpp
@@ -13,8 +13,8 @@
 
 }  // namespace
 
-// One connection, with one relay at a time: answers come in order, so behind a heavy command a second one would
-// only wait.
+// One connection, with one relay at a time: answers come in order, so behind a heavy command a second one
+// would only wait.
 class Link : private transport::Connection::Owner {
   public:
     explicit Link(Upstream& upstream)
@@ -66,11 +66,13 @@
             return;
         }
         up_ = true;
+        upstream_.heardAt_ = transport::Loop::now();
         connection_.read(true);
         rest();
     }
 
     void received(std::string_view bytes) override {
+        upstream_.heardAt_ = transport::Loop::now();
         if (!relay_) return upstream_.drop(*this);  // nobody asked
         if (http_) {
             const auto state = http_->feed(bytes);
@@ -178,6 +180,9 @@
     for (auto& link : links_)
         if (link->idle() && link->stale()) stale.push_back(link.get());
     for (Link* link : stale) drop(*link);
+    if (presence_ == Presence::ready) return;
+    // What still waits for a connection would go out to a cache that is to get nothing new.
+    while (Relay* const relay = nextWaiting()) shared_.owner.relayEnded(*relay, {Ending::notSent, {}});
 }
 
 void Upstream::send(Relay& relay) {
@@ -241,6 +246,9 @@
     Link& link = *relay.on;
     link.take();
     drop(link);
+    // Not a byte came from there while the relay was out: a machine that is cut off leaves its connections
+    // open and silent. On a new one that shows as never run, on these as one more relay that may have.
+    while (Link* const silent = heardAt_ < relay.sentAt ? idle() : nullptr) drop(*silent);
     shared_.owner.relayEnded(relay, {ending, {}});
 }
 
--- a/src/routing/upstream.hpp
+++ b/src/routing/upstream.hpp
@@ -48,8 +48,8 @@
     std::vector<Upstream*> upstreams;
     std::size_t count = 0;
 
-    bool makeRoom();      // closes the connection that has idled longest, if it must
-    void roomCame();      // for the relays that wait for some
+    bool makeRoom();  // closes the connection that has idled longest, if it must
+    void roomCame();  // for the relays that wait for some
 };
 
 class Upstream {
@@ -81,6 +81,7 @@
     Presence presence_ = Presence::gone;
     std::optional<transport::Address> address_;
     std::string host_;
+    Nanos heardAt_ = 0;  // when a byte last came from there, or a connection came up
     std::vector<std::unique_ptr<Link>> links_;
     std::deque<Relay*> waiting_;
 };
--- a/src/routing/watch.cpp
+++ b/src/routing/watch.cpp
@@ -12,8 +12,8 @@
 
 }  // namespace
 
-Watch::Watch(transport::Loop& loop, transport::Pool& pool, Core& core, transport::Address at, std::string host,
-             std::int64_t version, Nanos wait, Log log)
+Watch::Watch(transport::Loop& loop, transport::Pool& pool, Core& core, transport::Address at,
+             std::string host, std::int64_t version, Nanos wait, Log log)
     : loop_(loop),
       pool_(pool),
       core_(core),
@@ -46,8 +46,8 @@
 }
 
 void Watch::write() {
-    const auto call = fmt::format("GET /api/targets?after={}&wait_ms={} HTTP/1.1\r\nHost: {}\r\n\r\n", version_,
-                                  wait_ / kMillisecond, host_);
+    const auto call = fmt::format("GET /api/targets?after={}&wait_ms={} HTTP/1.1\r\nHost: {}\r\n\r\n",
+                                  version_, wait_ / kMillisecond, host_);
     if (!connection_->write(call)) fail("the connection broke");
 }
 
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <charconv>
 #include <cstring>
+#include <deque>
+#include <memory>
 
 namespace poppyscale::transport {
 
@@ -28,30 +30,63 @@
 
 // Outlives its Connection until libuv has let go of it: `connection` is null from then on.
 struct Connection::Handle {
+    struct Piece {
+        std::unique_ptr<Buffer> buffer;
+        std::size_t size;
+    };
     uv_tcp_t tcp{};
     uv_connect_t connect{};
     uv_shutdown_t shutdown{};
     Pool& pool;
+    uv_write_t write{};
     Owner* owner;
     std::unique_ptr<Buffer> reading;
+    // What the kernel has not taken yet; libuv has the first piece of it, and small ones share a buffer.
+    std::deque<Piece> queue;
+    std::size_t queued = 0;
 
-    Handle(Pool& pool, Owner& owner) : pool(pool), owner(&owner) { tcp.data = this; }
+    Handle(Pool& pool, Owner& owner) : pool(pool), owner(&owner) { tcp.data = write.data = this; }
     ~Handle() {
         if (reading) pool.give(std::move(reading));
+        for (Piece& piece : queue) pool.give(std::move(piece.buffer));
     }
     uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&tcp); }
     static Handle& of(void* data) { return *static_cast<Handle*>(data); }
-};
-
-namespace {
 
-struct Write {
-    uv_write_t request{};
-    std::unique_ptr<Buffer> buffer;
+    bool enqueue(std::string_view bytes) {
+        const bool writing = !queue.empty();
+        while (!bytes.empty()) {
+            // The first one is being written, so nothing may be added to it.
+            if (queue.size() < 2 || queue.back().size == kBufferSize) {
+                auto buffer = pool.take();
+                if (!buffer) return false;
+                queue.push_back({std::move(buffer), 0});
+            }
+            Piece& last = queue.back();
+            const std::size_t size = std::min(bytes.size(), kBufferSize - last.size);
+            std::memcpy(last.buffer->data() + last.size, bytes.data(), size);
+            last.size += size;
+            queued += size;
+            bytes.remove_prefix(size);
+        }
+        return writing || queue.empty() || writeFirst();
+    }
+    bool writeFirst() {
+        const uv_buf_t piece =
+            uv_buf_init(queue.front().buffer->data(), static_cast<unsigned>(queue.front().size));
+        return uv_write(&write, stream(), &piece, 1,
+                        [](uv_write_t* request, int status) { of(request->data).written(status); }) == 0;
+    }
+    void written(int status) {
+        queued -= queue.front().size;
+        pool.give(std::move(queue.front().buffer));
+        queue.pop_front();
+        if (!owner) return;
+        if (status < 0 || (!queue.empty() && !writeFirst())) return owner->ended();
+        if (queue.empty()) owner->emptied();
+    }
 };
 
-}  // namespace
-
 Connection::Connection(Loop& loop, Pool& pool, Owner& owner) : handle_(new Handle(pool, owner)) {
     uv_tcp_init(loop.raw(), &handle_->tcp);
 }
@@ -109,40 +144,16 @@
 }
 
 bool Connection::write(std::string_view bytes) {
-    uv_stream_t* const stream = handle_->stream();
-    if (uv_stream_get_write_queue_size(stream) == 0) {
+    if (handle_->queue.empty()) {
         uv_buf_t piece = uv_buf_init(const_cast<char*>(bytes.data()), static_cast<unsigned>(bytes.size()));
-        const int written = uv_try_write(stream, &piece, 1);
+        const int written = uv_try_write(handle_->stream(), &piece, 1);
         if (written < 0 && written != UV_EAGAIN) return false;
         if (written > 0) bytes.remove_prefix(static_cast<std::size_t>(written));
     }
-    while (!bytes.empty()) {
-        auto write = std::make_unique<Write>();
-        write->buffer = handle_->pool.take();
-        if (!write->buffer) return false;
-        const std::size_t size = std::min(bytes.size(), write->buffer->size());
-        std::memcpy(write->buffer->data(), bytes.data(), size);
-        bytes.remove_prefix(size);
-        uv_buf_t piece = uv_buf_init(write->buffer->data(), static_cast<unsigned>(size));
-        write->request.data = write.get();
-        const int failed = uv_write(&write->request, stream, &piece, 1, [](uv_write_t* request, int status) {
-            const std::unique_ptr<Write> done(static_cast<Write*>(request->data));
-            Handle& handle = Handle::of(request->handle->data);
-            handle.pool.give(std::move(done->buffer));
-            if (!handle.owner) return;
-            if (status < 0) return handle.owner->ended();
-            if (uv_stream_get_write_queue_size(handle.stream()) == 0) handle.owner->emptied();
-        });
-        if (failed) {
-            handle_->pool.give(std::move(write->buffer));
-            return false;
-        }
-        write.release();
-    }
-    return true;
+    return handle_->enqueue(bytes);
 }
 
-std::size_t Connection::unsent() const { return uv_stream_get_write_queue_size(handle_->stream()); }
+std::size_t Connection::unsent() const { return handle_->queued; }
 
 void Connection::finishSending() {
     uv_shutdown(&handle_->shutdown, handle_->stream(), [](uv_shutdown_t*, int) {});
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -41,7 +41,7 @@
     // False when the peer is gone or the pool is empty; the connection is of no further use then.
     bool write(std::string_view bytes);
     std::size_t unsent() const;
-    void finishSending();  // after what is written; reading goes on
+    void finishSending();    // after what is written; reading goes on
     bool bytesWait() const;  // something stands in the kernel that was not read
 
   private:
--- a/src/transport/listener.cpp
+++ b/src/transport/listener.cpp
@@ -17,10 +17,13 @@
 std::string Listener::listen(const Address& at) {
     int status = uv_tcp_bind(handle_, reinterpret_cast<const sockaddr*>(&at), 0);
     if (status == 0)
-        status = uv_listen(reinterpret_cast<uv_stream_t*>(handle_), 4096, [](uv_stream_t* server, int failed) {
-            if (failed) return;
-            static_cast<Listener*>(server->data)->admit_([server](Connection& c) { return c.accept(server); });
-        });
+        status =
+            uv_listen(reinterpret_cast<uv_stream_t*>(handle_), 4096, [](uv_stream_t* server, int failed) {
+                if (failed) return;
+                static_cast<Listener*>(server->data)->admit_([server](Connection& c) {
+                    return c.accept(server);
+                });
+            });
     // Without this libuv sleeps after each accept.
     uv_tcp_simultaneous_accepts(handle_, 1);
     return status == 0 ? "" : uv_strerror(status);
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -42,12 +42,14 @@
 void Loop::beforePoll() {
     if (handOver_) handOver_();
     if (alarms_.empty()) return void(uv_timer_stop(&timer_));
-    // The timer only ends the poll: alarms ring after it, so that an answer that has come in is read before its
-    // relay is given up. libuv counts whole milliseconds from a time it keeps; too early a one is set again.
+    // The timer only ends the poll: alarms ring after it, so that an answer that has come in is read before
+    // its relay is given up. libuv counts whole milliseconds from a time it keeps; too early a one is set
+    // again.
     uv_update_time(&loop_);
     const Nanos left = std::max<Nanos>(alarms_.begin()->first - now(), 0);
     const auto wait = static_cast<std::uint64_t>((left + kMillisecond - 1) / kMillisecond);
-    uv_timer_start(&timer_, [](uv_timer_t*) {}, wait, 0);
+    uv_timer_start(
+        &timer_, [](uv_timer_t*) {}, wait, 0);
 }
 
 void Loop::afterPoll() {
--- a/src/transport/pool.hpp
+++ b/src/transport/pool.hpp
@@ -2,6 +2,7 @@
 // the machine.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <memory>
@@ -28,6 +29,8 @@
         free_.pop_back();
         return buffer;
     }
+    std::size_t left() const { return most_ - std::min(made_ - free_.size(), most_); }
+    std::size_t most() const { return most_; }
     void give(std::unique_ptr<Buffer> buffer) { free_.push_back(std::move(buffer)); }
 
   private:
--- /dev/null
+++ b/tests/helper.hpp
@@ -0,0 +1,364 @@
+// The one helper of the tests: a host that writes down what it is asked, a router with a small world, and the
+// program itself between sockets of ours.
+#pragma once
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "logic.hpp"
+
+namespace poppyscale::test {
+
+constexpr Nanos ms = 1'000'000;
+
+struct Told {
+    char what;  // r relay, d decline, t terminate
+    CommandId id;
+    std::string cache;
+    Nanos at;
+};
+
+struct FakeHost : Host {
+    void relay(CommandId id, std::string_view cache, Nanos giveUpAt) override {
+        told.push_back({'r', id, std::string(cache), giveUpAt});
+    }
+    void decline(CommandId id, Nanos comeBack) override { told.push_back({'d', id, "", comeBack}); }
+    void terminate(CommandId id) override { told.push_back({'t', id, "", 0}); }
+    void wake(Nanos at) override { wakes.push_back(at); }
+    void subscribe() override { ++subscriptions; }
+    void log(std::string_view text) override { logs.emplace_back(text); }
+
+    std::vector<Told> told;
+    std::vector<Nanos> wakes;
+    std::vector<std::string> logs;
+    int subscriptions = 0;
+};
+
+inline Terms smallTerms(bool aside) {
+    Terms t;
+    t.seed = 7;
+    t.aside = aside;
+    t.originShape = "store";
+    t.maxRelays = 3;
+    t.startShare = 0.2;
+    t.ramp = 10'000 * ms;
+    t.tipMultiple = 3;
+    t.fallSpan = 1'000 * ms;
+    t.verbs = {{"read", Effect::pure, Group::all, 0, 500 * ms, 1},
+               {"mark", Effect::receipted, Group::zone, 2'000 * ms, 500 * ms, 1},
+               {"pay", Effect::effectful, Group::all, 0, 500 * ms, 4}};
+    return t;
+}
+
+// A router with caches a, b, c ... and, in aside mode, the origin.
+struct World {
+    explicit World(bool aside = false, int caches = 4) : World(smallTerms(aside), caches) {}
+    World(const Terms& terms, int caches) : router(terms, host, 0) {
+        for (int i = 0; i < caches; ++i)
+            list.push_back({std::string(1, static_cast<char>('a' + i)), "z", "m"});
+        if (terms.aside) list.push_back({"origin", "z", "store"});
+        router.news(0, NewsKind::cached, list);
+        router.settle(0);
+    }
+    // Sends a command and returns where its relay went ("" when none did).
+    std::string ask(CommandId id, std::string_view key = "k", std::string_view verb = "read",
+                    bool write = false, std::string_view customer = "") {
+        const auto before = host.told.size();
+        router.arrival(now, {id, verb, customer, key, now + 2'000 * ms, write});
+        router.settle(now);
+        return since(before);
+    }
+    // Ends a relay and returns where the next one went, "declined", "terminated", or "".
+    std::string end(CommandId id, int relay, Ending ending, bool over = false, Nanos spent = 20 * ms) {
+        const auto before = host.told.size();
+        router.ended(now, {id, relay, ending, over || ending == Ending::answered, spent});
+        router.settle(now);
+        return since(before);
+    }
+    std::string since(std::size_t before) const {
+        if (host.told.size() <= before) return "";
+        const Told& t = host.told[before];
+        return t.what == 'r' ? t.cache : t.what == 'd' ? "declined" : "terminated";
+    }
+    // Asks and answers at once; returns the cache that served it.
+    std::string serve(CommandId id, std::string_view key) {
+        const std::string where = ask(id, key);
+        end(id, 0, Ending::answered);
+        return where;
+    }
+    std::size_t finals(CommandId id) const {
+        std::size_t n = 0;
+        for (const Told& t : host.told) n += t.id == id && t.what != 'r';
+        return n;
+    }
+
+    FakeHost host;
+    Router router;
+    std::vector<Listed> list;
+    Nanos now = 1 * ms;
+};
+
+constexpr int kSoon = 5'000;  // ms: what must happen has happened by then, sanitizers and all
+
+inline bool readable(int descriptor, int within) {
+    pollfd p{descriptor, POLLIN, 0};
+    return poll(&p, 1, within) == 1;
+}
+
+inline sockaddr_in loopback(std::uint16_t port) {
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_port = htons(port);
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return at;
+}
+
+// One end of a connection; what doesn't come soon reads as nothing.
+class Socket {
+  public:
+    explicit Socket(int descriptor) : descriptor_(descriptor) {}
+    explicit Socket(std::uint16_t port) : descriptor_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+        const auto at = loopback(port);
+        if (connect(descriptor_, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0) hangUp();
+    }
+    Socket(Socket&& other) noexcept
+        : descriptor_(std::exchange(other.descriptor_, -1)), in_(std::move(other.in_)) {}
+    ~Socket() { hangUp(); }
+
+    bool open() const { return descriptor_ >= 0; }
+    void hangUp() {
+        if (open()) close(std::exchange(descriptor_, -1));
+    }
+    void reset() {
+        const linger now{1, 0};
+        setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+        hangUp();
+    }
+    Socket& say(std::string_view text) {
+        while (!text.empty()) {
+            const auto sent = send(descriptor_, text.data(), text.size(), MSG_NOSIGNAL);
+            if (sent <= 0) break;
+            text.remove_prefix(static_cast<std::size_t>(sent));
+        }
+        return *this;
+    }
+    // Without waiting for the other side: how many bytes fit.
+    std::size_t cram(std::string_view text) {
+        const auto sent = send(descriptor_, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        return sent < 0 ? 0 : static_cast<std::size_t>(sent);
+    }
+    std::string bytes(std::size_t count) {
+        while (in_.size() < count && more()) {
+        }
+        return cut(std::min(count, in_.size()));
+    }
+    std::string line() {
+        std::size_t end;
+        while ((end = in_.find("\r\n")) == std::string::npos)
+            if (!more()) return cut(in_.size());
+        const std::string text = cut(end);
+        cut(2);
+        return text;
+    }
+    // An answer of a router: a line, or what a bulk string holds.
+    std::string answer() {
+        const std::string head = line();
+        if (head.empty() || head[0] != '$') return head;
+        const std::string text = bytes(std::stoul(head.substr(1)));
+        line();
+        return text;
+    }
+    std::vector<std::string> command() {
+        std::vector<std::string> words;
+        const std::string head = line();
+        if (head.empty() || head[0] != '*') return words;
+        for (auto left = std::stoul(head.substr(1)); left > 0; --left) words.push_back(answer());
+        return words;
+    }
+    // The lines of an HTTP head, up to the empty one.
+    std::vector<std::string> head() {
+        std::vector<std::string> lines;
+        for (std::string text = line(); !text.empty(); text = line()) lines.push_back(text);
+        return lines;
+    }
+    bool ended() {
+        while (more()) {
+        }
+        return ended_;
+    }
+    bool quiet(int within) const { return in_.empty() && !readable(descriptor_, within); }
+
+  private:
+    bool more() {
+        char buffer[16 * 1024];
+        if (!open() || !readable(descriptor_, kSoon)) return false;
+        const auto got = recv(descriptor_, buffer, sizeof buffer, 0);
+        ended_ = got <= 0;
+        if (got > 0) in_.append(buffer, static_cast<std::size_t>(got));
+        return got > 0;
+    }
+    std::string cut(std::size_t count) {
+        std::string text = in_.substr(0, count);
+        in_.erase(0, count);
+        return text;
+    }
+
+    int descriptor_;
+    std::string in_;
+    bool ended_ = false;
+};
+
+// A cache, the origin or discovery: where the router connects to.
+class Door {
+  public:
+    Door() : descriptor_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+        auto at = loopback(0);
+        socklen_t size = sizeof at;
+        if (bind(descriptor_, reinterpret_cast<sockaddr*>(&at), size) != 0 || listen(descriptor_, 64) != 0 ||
+            getsockname(descriptor_, reinterpret_cast<sockaddr*>(&at), &size) != 0)
+            throw std::runtime_error("no port to listen on");
+        port = ntohs(at.sin_port);
+    }
+    Door(Door&& other) noexcept : port(other.port), descriptor_(std::exchange(other.descriptor_, -1)) {}
+    ~Door() { shut(); }
+    void shut() {
+        if (descriptor_ >= 0) close(std::exchange(descriptor_, -1));
+    }
+    Socket accept() {
+        return Socket(readable(descriptor_, kSoon) ? ::accept(descriptor_, nullptr, nullptr) : -1);
+    }
+    bool quiet(int within) const { return !readable(descriptor_, within); }
+    std::string address() const { return "127.0.0.1:" + std::to_string(port); }
+
+    std::uint16_t port = 0;
+
+  private:
+    int descriptor_;
+};
+
+// What a router is started with, but for its addresses and its list.
+inline nlohmann::json smallStart() {
+    return nlohmann::json::parse(
+        R"({"name":"n0","seed":"07","limits":{"cores":1.0,"memory_mb":64,"sockets":256},
+        "settings":{"allowed":{"connIdleUs":15000000,"connectTimeoutUs":200000,"maxOpen":20000,"maxRelays":3,
+        "maxRetryAfterUs":2000000,"retryAfter":true},"familyInfo":{"mode":"aside","originKind":1},
+        "membershipMode":"on_request","orgs":[{"name":"north","quotaPerS":100.0}],"replicasOfMe":1,
+        "rules":{"askWithinUs":10000000,"fallUs":1500000,"rampTimeUs":8900000,"startCapacity":0.3,
+        "tipMultiple":4.0},"shapes":["m","origin"],"verbs":[
+        {"effect":"free","keyTtlUs":0,"name":"read","responseGoalUs":500000,"timeLimitUs":2000000,"utility":1.0},
+        {"effect":"guarded","group":"all","keyTtlUs":5000000,"name":"mark","responseGoalUs":500000,
+        "timeLimitUs":2000000,"utility":1.0},
+        {"effect":"single_shot","name":"pay","responseGoalUs":500000,"timeLimitUs":1000000,"utility":4.0}]}})");
+}
+
+inline nlohmann::json entryOf(std::string id, const Door& door, std::string kind = "m",
+                              std::string state = "Ready", std::int64_t startedMs = 0) {
+    return {{"id", id},  {"addr", door.address()}, {"zone", "a"},   {"kind", kind},
+            {"cell", 0}, {"state", state},         {"weight", 1.0}, {"started_ms", startedMs}};
+}
+
+// The program, started with what is given and ended with the story.
+class Program {
+  public:
+    explicit Program(const std::string& configuration) {
+        char folder[] = "/tmp/poppyscale-test-XXXXXX";
+        if (!mkdtemp(folder)) throw std::runtime_error("no folder for a configuration");
+        folder_ = folder;
+        std::ofstream(folder_ + "/config.json") << configuration;
+        setenv("ROUTER_CONFIG", (folder_ + "/config.json").c_str(), 1);
+        const std::string log = folder_ + "/log";
+        pid_ = fork();
+        if (pid_ == 0) {
+            if (!freopen(log.c_str(), "w", stderr)) _exit(126);
+            execl(POPPYSCALE_PROGRAM, "poppyscale", nullptr);
+            _exit(127);
+        }
+    }
+    ~Program() {
+        if (pid_ > 0) kill(pid_, SIGKILL), waitpid(pid_, nullptr, 0);
+        for (const char* name : {"/config.json", "/log", ""})
+            if (std::remove((folder_ + name).c_str()) != 0) break;
+    }
+    void signal(int number) const { kill(pid_, number); }
+    bool running() const { return kill(pid_, 0) == 0 && waitpid(pid_, nullptr, WNOHANG) == 0; }
+    // The exit code, or what killed it as a negative number.
+    int exitCode() {
+        int status = 0;
+        waitpid(std::exchange(pid_, -1), &status, 0);
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    }
+    std::string log() const {
+        std::ifstream file(folder_ + "/log");
+        return {std::istreambuf_iterator<char>(file), {}};
+    }
+    std::size_t residentKiB() const {
+        std::ifstream file("/proc/" + std::to_string(pid_) + "/statm");
+        std::size_t pages = 0;
+        file >> pages >> pages;
+        return pages * 4;
+    }
+
+  private:
+    std::string folder_;
+    pid_t pid_ = -1;
+};
+
+// A router with caches c0, c1 ..., an origin and discovery, all of them played by the story.
+struct Stage {
+    explicit Stage(std::size_t count = 1, nlohmann::json start = smallStart())
+        : caches(count), port(Door().port), program(startOf(start)) {
+        for (int tries = 0; tries < 100 && client().say("*1\r\n$4\r\nPING\r\n").line() != "+PONG"; ++tries)
+            usleep(50'000);
+    }
+    Socket client() const { return Socket(port); }
+    std::string startOf(nlohmann::json& start) const {
+        start["listen"] = "127.0.0.1:" + std::to_string(port);
+        start["discovery"] = discovery.address();
+        start["known"] = {{"version", 7}, {"full", true}, {"servers", {entryOf("origin", origin, "origin")}}};
+        for (std::size_t i = 0; i < caches.size(); ++i)
+            start["known"]["servers"].push_back(entryOf("c" + std::to_string(i), caches[i]));
+        return start.dump();
+    }
+
+    Door discovery;
+    Door origin;
+    std::vector<Door> caches;
+    std::uint16_t port;
+    Program program;
+};
+
+inline std::string array(const std::vector<std::string>& words) {
+    std::string text = "*" + std::to_string(words.size()) + "\r\n";
+    for (const auto& word : words) text += "$" + std::to_string(word.size()) + "\r\n" + word + "\r\n";
+    return text;
+}
+inline std::string get(const std::string& key, const std::string& info = "c=read,t=north,d=1500") {
+    return array({"OBJ.GET", key, "9b1f03aa5c7e2d41", info});
+}
+inline std::string set(const std::string& key, const std::string& info, const std::string& value = "V") {
+    return array({"OBJ.SET", key, "9b1f03aa5c7e2d41", info, value});
+}
+inline std::string hit(const std::string& value) {
+    return "*3\r\n$" + std::to_string(value.size()) + "\r\n" + value + "\r\n$3\r\nhit\r\n$-1\r\n";
+}
+constexpr std::string_view kMiss = "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n";
+inline std::string http(int status, const std::string& body, const std::string& headers = "") {
+    return "HTTP/1.1 " + std::to_string(status) + " x\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n" + headers + "\r\n" + body;
+}
+
+}  // namespace poppyscale::test
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "fake_host.hpp"
+#include "helper.hpp"
 
 using namespace poppyscale;
 using namespace poppyscale::test;
--- /dev/null
+++ b/tests/router_test.cpp
@@ -0,0 +1,308 @@
+// The program as its peers see it: clients, caches, the origin and discovery are sockets of the story.
+#include <doctest/doctest.h>
+
+#include "helper.hpp"
+
+using namespace poppyscale::test;
+
+namespace {
+
+std::string listOf(int version, const std::vector<nlohmann::json>& entries) {
+    return nlohmann::json{{"version", version}, {"full", false}, {"servers", entries}}.dump();
+}
+
+bool begins(const std::string& text, std::string_view with) { return text.starts_with(with); }
+
+// Serves one command from the cache; returns the connection it came on.
+Socket serveOne(Stage& stage, Socket& client, const std::string& key) {
+    client.say(get(key));
+    Socket cache = stage.caches[0].accept();
+    CHECK(cache.command().size() == 4);
+    cache.say(hit(key));
+    CHECK(client.answer() == key);
+    return cache;
+}
+
+}  // namespace
+
+TEST_CASE("a read is answered by the cache, and the connection is used again") {
+    Stage stage;
+    Socket client = stage.client();
+    client.say(get("k", "c=read,t=north,d=1500,size=9"));
+    Socket cache = stage.caches[0].accept();
+    const auto words = cache.command();
+    REQUIRE(words.size() == 4);
+    CHECK(words[0] == "OBJ.GET");
+    CHECK(words[1] == "k");
+    CHECK(words[2] == "9b1f03aa5c7e2d41");
+    CHECK(begins(words[3], "c=read,t=north,d=1"));
+    CHECK(words[3].ends_with(",size=9"));
+    // In pieces, as a network may bring it.
+    const std::string answer = hit("value");
+    for (const char c : answer) cache.say({&c, 1});
+    CHECK(client.answer() == "value");
+    client.say(get("k"));
+    CHECK(cache.command().size() == 4);
+    cache.say(hit("again"));
+    CHECK(client.answer() == "again");
+    CHECK(stage.caches[0].quiet(50));
+}
+
+TEST_CASE("what the cache lacks comes from the origin") {
+    Stage stage;
+    Socket client = stage.client();
+    client.say(get("k"));
+    Socket cache = stage.caches[0].accept();
+    cache.command();
+    cache.say(kMiss);
+    Socket origin = stage.origin.accept();
+    const auto head = origin.head();
+    REQUIRE(head.size() == 4);
+    CHECK(head[0] == "GET /k HTTP/1.1");
+    CHECK(head[2] == "X-Call-Id: 9b1f03aa5c7e2d41");
+    CHECK(head[3] == "X-Call-Info: c=read,t=north,d=1500");
+    origin.say(http(200, "fetched"));
+    CHECK(client.answer() == "fetched");
+}
+
+TEST_CASE("a write of 64 KiB reaches the origin whole and its receipt comes back") {
+    Stage stage;
+    Socket client = stage.client();
+    const std::string value(64 * 1024, 'x');
+    client.say(set("k", "c=mark,t=north,d=1500,k=5c", value));
+    Socket origin = stage.origin.accept();
+    CHECK(origin.head()[0] == "PUT /k HTTP/1.1");
+    CHECK(origin.bytes(value.size()) == value);
+    origin.say(http(200, "receipt"));
+    CHECK(client.answer() == "receipt");
+}
+
+TEST_CASE("a write that never ran is declined, one that may have run fails and is not sent again") {
+    Stage stage;
+    Socket client = stage.client();
+    client.say(set("k", "c=pay,d=900"));
+    Socket origin = stage.origin.accept();
+    for (int relays = 0; relays < 3; ++relays) {
+        CHECK(origin.head().size() == 5);
+        origin.bytes(1);
+        origin.say(http(503, "", "X-Rejected: 1\r\n"));
+    }
+    CHECK(begins(client.answer(), "-BUSY"));
+    client.say(set("k", "c=pay,d=900"));
+    origin.head();
+    origin.bytes(1);
+    origin.say(http(500, ""));
+    CHECK(begins(client.answer(), "-ERR"));
+    client.say(set("k", "c=pay,d=900"));
+    origin.head();
+    origin.bytes(1);
+    origin.reset();
+    CHECK(begins(client.answer(), "-ERR"));
+    CHECK(stage.origin.quiet(200));
+    stage.origin.shut();
+    client.say(set("k", "c=pay,d=900"));
+    CHECK(begins(client.answer(), "-BUSY"));
+}
+
+TEST_CASE("answers go out in the order of the commands, and no command waits behind another at a cache") {
+    Stage stage;
+    Socket client = stage.client();
+    client.say(get("a") + array({"PING"}) + get("b"));
+    Socket first = stage.caches[0].accept();
+    Socket second = stage.caches[0].accept();
+    const std::string firstKey = first.command().at(1), secondKey = second.command().at(1);
+    CHECK(firstKey != secondKey);
+    (firstKey == "b" ? first : second).say(hit("vb"));
+    CHECK(client.quiet(100));
+    (firstKey == "a" ? first : second).say(hit("va"));
+    CHECK(client.answer() == "va");
+    CHECK(client.answer() == "+PONG");
+    CHECK(client.answer() == "vb");
+}
+
+TEST_CASE("a client that leaves midway takes nothing with it") {
+    Stage stage;
+    Socket leaving = stage.client();
+    leaving.say(get("a") + get("b"));
+    Socket first = stage.caches[0].accept();
+    Socket second = stage.caches[0].accept();
+    first.command();
+    second.command();
+    leaving.reset();
+    Socket client = stage.client();
+    CHECK(client.say(array({"PING"})).answer() == "+PONG");
+    first.say(hit("late"));
+    second.say(hit("late"));
+    client.say(get("c"));
+    CHECK(second.command().size() == 4);
+    second.say(hit("vc"));
+    CHECK(client.answer() == "vc");
+}
+
+TEST_CASE("a relay that is given up closes its connection, and silent ones beside it are not used again") {
+    Stage stage;
+    Socket client = stage.client();
+    client.say(get("a") + get("b"));
+    Socket first = stage.caches[0].accept();
+    Socket second = stage.caches[0].accept();
+    first.command();
+    second.command();
+    first.say(hit("v"));
+    second.say(hit("v"));
+    client.answer();
+    client.answer();
+    client.say(get("c", "c=read,d=300"));
+    CHECK(begins(client.answer(), "-"));
+    CHECK(first.ended());
+    CHECK(second.ended());
+    serveOne(stage, client, "d");
+}
+
+TEST_CASE("a cache that refuses connections leaves the command unrun") {
+    Stage stage;
+    stage.caches[0].shut();
+    Socket client = stage.client();
+    client.say(get("k"));
+    CHECK(begins(client.answer(), "-BUSY"));
+}
+
+TEST_CASE("nonsense from a cache fails that relay alone") {
+    Stage stage;
+    Socket client = stage.client();
+    client.say(get("k"));
+    Socket cache = stage.caches[0].accept();
+    cache.command();
+    cache.say("!what\r\n");
+    CHECK(begins(client.answer(), "-"));
+    CHECK(cache.ended());
+    Socket next = serveOne(stage, client, "d");
+    next.say(hit("nobody asked"));
+    CHECK(next.ended());
+    serveOne(stage, client, "e");
+}
+
+TEST_CASE("broken bytes end the connection with an error, unknown words only get one") {
+    Stage stage;
+    Socket client = stage.client();
+    CHECK(begins(client.say(array({"FLUSHALL"})).answer(), "-ERR"));
+    CHECK(client.say(array({"PING"})).answer() == "+PONG");
+    client.say("GET / HTTP/1.1\r\n\r\n");
+    CHECK(begins(client.answer(), "-ERR Protocol error"));
+    CHECK(client.ended());
+    Socket huge = stage.client();
+    huge.say("*5\r\n$7\r\nOBJ.SET\r\n$99999999\r\n");
+    CHECK(begins(huge.answer(), "-ERR Protocol error"));
+    CHECK(huge.ended());
+}
+
+TEST_CASE("the watch goes on at once and what it tells is followed") {
+    Stage stage(2);
+    Socket discovery = stage.discovery.accept();
+    CHECK(begins(discovery.head().at(0), "GET /api/targets?after=7&wait_ms="));
+    discovery.say(http(200, listOf(8, {entryOf("c0", stage.caches[0], "m", "Terminating"),
+                                       entryOf("c1", stage.caches[1], "m", "Ready", 5)})));
+    CHECK(begins(discovery.head().at(0), "GET /api/targets?after=8&wait_ms="));
+    Socket client = stage.client();
+    for (const char* key : {"a", "b", "c", "d", "e", "f"}) client.say(get(key));
+    CHECK(stage.caches[1].accept().command().size() == 4);
+    CHECK(stage.caches[0].quiet(200));
+}
+
+TEST_CASE("a call to discovery that fails is made again, but not at once") {
+    Stage stage;
+    for (const char* answer : {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "nonsense\r\n\r\n",
+                               "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n[7,]"}) {
+        Socket discovery = stage.discovery.accept();
+        CHECK(begins(discovery.head().at(0), "GET /api/targets?after=7"));
+        discovery.say(answer);
+        CHECK(stage.discovery.quiet(100));
+    }
+    stage.discovery.accept();
+    Socket client = stage.client();
+    serveOne(stage, client, "k");
+}
+
+TEST_CASE("told to stop, it takes what still comes, answers all of it and exits with 0") {
+    Stage stage;
+    Socket idle = stage.client();
+    idle.say(array({"PING"})).answer();
+    Socket busy = stage.client();
+    busy.say(get("a"));
+    Socket cache = stage.caches[0].accept();
+    cache.command();
+    stage.program.signal(SIGTERM);
+    usleep(200'000);
+    Socket late = stage.client();
+    Socket other = serveOne(stage, late, "b");
+    CHECK(idle.ended());
+    CHECK(late.ended());
+    CHECK_FALSE(stage.client().open());
+    cache.say(hit("va"));
+    CHECK(busy.answer() == "va");
+    CHECK(busy.ended());
+    CHECK(stage.program.exitCode() == 0);
+}
+
+TEST_CASE("a configuration that can't be used is one plain line and an exit code") {
+    auto start = smallStart();
+    Stage taken(0);
+    start["listen"] = "127.0.0.1:" + std::to_string(taken.port);
+    start["discovery"] = "127.0.0.1:1";
+    auto odd = start;
+    odd["settings"]["verbs"][0]["responseGoalUs"] = "soon";
+    auto nowhere = start;
+    nowhere["listen"] = "localhost";
+    for (const auto& text : {std::string("{"), std::string(""), odd.dump(), nowhere.dump(), start.dump()}) {
+        Program program(text);
+        CHECK(program.exitCode() == 1);
+        const std::string log = program.log();
+        CHECK_MESSAGE(log.find('\n') == log.size() - 1, log);
+    }
+}
+
+TEST_CASE("a client that doesn't read stops being read, and the others are served") {
+    Stage stage;
+    Socket deaf = stage.client();
+    const std::string value(64 * 1024, 'x');
+    deaf.say(get("k"));
+    Socket cache = stage.caches[0].accept();
+    int answered = 0;
+    for (; answered < 1000 && !cache.quiet(300); ++answered) {
+        cache.command();
+        cache.say(hit(value));
+        deaf.say(get("k"));
+    }
+    CHECK(answered > 1);
+    CHECK(answered < 1000);
+    Socket client = stage.client();
+    client.say(get("other"));
+    CHECK(cache.command().at(1) == "other");
+    cache.say(hit("v"));
+    CHECK(client.answer() == "v");
+}
+
+TEST_CASE("more clients than descriptors: the one that idles longest makes room") {
+    auto start = smallStart();
+    start["limits"]["sockets"] = 64;
+    Stage stage(1, start);
+    Socket first = stage.client();
+    CHECK(first.say(array({"PING"})).answer() == "+PONG");
+    std::vector<Socket> others;
+    for (int i = 0; i < 40; ++i) {
+        others.push_back(stage.client());
+        REQUIRE(others.back().say(array({"PING"})).answer() == "+PONG");
+    }
+    CHECK(first.ended());
+    serveOne(stage, others.back(), "k");
+}
+
+TEST_CASE("a connection is closed well before the cache would close it") {
+    auto start = smallStart();
+    start["settings"]["allowed"]["connIdleUs"] = 600'000;
+    Stage stage(1, start);
+    Socket client = stage.client();
+    Socket cache = serveOne(stage, client, "a");
+    CHECK(cache.quiet(150));
+    CHECK(cache.ended());
+    serveOne(stage, client, "b");
+}
