--- a/src/routing/upstream.cpp
+++ b/src/routing/upstream.cpp
@@ -21,7 +21,7 @@
         : upstream_(upstream),
           address_(*upstream.address_),
           connection_(upstream.shared_.loop, upstream.shared_.pool, *this),
-          alarm_(upstream.shared_.loop, [this] { up_ ? upstream_.drop(*this) : opened(false); }) {
+          alarm_(upstream.shared_.loop, [this] { up_ ? upstream_.drop(*this) : neverUp(); }) {
         if (upstream.origin_) http_.emplace(kLongestValue);
     }
 
@@ -57,14 +57,7 @@
 
   private:
     void opened(bool success) override {
-        if (!success) {
-            // Taken first, or another connection would be opened for it.
-            Upstream& upstream = upstream_;
-            Relay* const relay = upstream.nextWaiting();
-            upstream.drop(*this);
-            if (relay) upstream.shared_.owner.relayEnded(*relay, {Ending::noRoute, {}});
-            return;
-        }
+        if (!success) return neverUp();
         up_ = true;
         upstream_.heardAt_ = transport::Loop::now();
         connection_.read(true);
@@ -87,12 +80,20 @@
     }
 
     void ended() override {
-        if (!up_) return opened(false);
+        if (!up_) return neverUp();
         if (relay_ && http_ && written() && http_->end() == protocol::HttpAnswer::State::whole)
             return end(readHttp(), false);
         broke();
     }
 
+    void neverUp() {
+        // Taken first, or another connection would be opened for it.
+        Upstream& upstream = upstream_;
+        Relay* const relay = upstream.nextWaiting();
+        upstream.drop(*this);
+        if (relay) upstream.shared_.owner.relayEnded(*relay, {Ending::noRoute, {}});
+    }
+
     void broke() {
         Upstream& upstream = upstream_;
         const Ending ending = written() ? Ending::cut : Ending::noRoute;
