Time that the process is held up counts neither as patience nor as the cache's time

Seen: a router stopped for 0.6 s answered a command of 0.9 s after 1.5 s, since it counted the client's wait from when it read the command. Checked with a story that stops the program; the first form of the change failed it, because a poll that was interrupted comes back without reading (libuv polls again in the next turn), so the lateness of the poll is carried into that turn.

--- a/src/routing/clients.cpp
+++ b/src/routing/clients.cpp
@@ -68,7 +68,7 @@
 
     void received(std::string_view bytes) override {
         clients_.clients_.splice(clients_.clients_.end(), clients_.clients_, place);
-        const Nanos now = transport::Loop::now();
+        const Nanos at = clients_.loop_.arrivedBy();
         while (!bytes.empty() && !ending_) {
             const auto state = decoder_.feed(bytes);
             if (state == protocol::Decoder::State::more) break;
@@ -82,7 +82,7 @@
                 continue;
             }
             Slot& slot = line_.emplace_back(*this);
-            slot.command = clients_.core_.take(slot, std::move(std::get<protocol::Command>(said)), now);
+            slot.command = clients_.core_.take(slot, std::move(std::get<protocol::Command>(said)), at);
             // Over the number that may be open; never sent, so that trying again is harmless.
             if (!slot.command) answer(slot, "-BUSY\r\n");
         }
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Nanos kMillisecond = 1'000'000;
+constexpr Nanos kLongestPoll = 20 * kMillisecond;               // so that being held up in one shows
+constexpr Nanos kHeldUp = 10 * kMillisecond;                    // shorter ones are any busy machine's
 constexpr Nanos kSetForward = 1'000'000 * kMillisecond * 1000;  // eleven days
 
 }  // namespace
@@ -41,18 +43,35 @@
 
 void Loop::beforePoll() {
     if (handOver_) handOver_();
-    if (alarms_.empty()) return void(uv_timer_stop(&timer_));
     // The timer only ends the poll: alarms ring after it, so that an answer that has come in is read before
     // its relay is given up. libuv counts whole milliseconds from a time it keeps; too early a one is set
     // again.
     uv_update_time(&loop_);
-    const Nanos left = std::max<Nanos>(alarms_.begin()->first - now(), 0);
+    const Nanos began = now();
+    Nanos left = kLongestPoll;
+    if (!alarms_.empty()) left = std::clamp<Nanos>(alarms_.begin()->first - began, 0, kLongestPoll);
     const auto wait = static_cast<std::uint64_t>((left + kMillisecond - 1) / kMillisecond);
     uv_timer_start(
         &timer_, [](uv_timer_t*) {}, wait, 0);
+    pollDue_ = began + left;
+    // Sockets are read within the poll. Where the last turn took long, what is there may be as old as that
+    // turn; how late the poll itself returns is only known by then.
+    arrivedBy_ = began - polledAt_ > kHeldUp && polledAt_ ? polledAt_ : 0;
+    reading_ = true;
+}
+
+Nanos Loop::arrivedBy() const {
+    const Nanos at = now();
+    if (!reading_) return at;
+    if (arrivedBy_) return arrivedBy_;
+    return at - pollDue_ > kHeldUp ? pollDue_ : at;
 }
 
 void Loop::afterPoll() {
+    reading_ = false;
+    // Held up in the poll, libuv may have come back from it without reading anything.
+    const Nanos at = now();
+    polledAt_ = at - pollDue_ > kHeldUp ? pollDue_ : at;
     ring();
     if (handOver_) handOver_();
 }
--- a/src/transport/loop.hpp
+++ b/src/transport/loop.hpp
@@ -22,6 +22,9 @@
 
     // The monotonic clock, set forward so that a machine that has just booted can still name times before.
     static Nanos now();
+    // Since when what is being read may have stood in the kernel: now, unless the process was held up. A
+    // client's wait has begun by then, and a cache has answered by then.
+    Nanos arrivedBy() const;
     uv_loop_t* raw() { return &loop_; }
     // Called before the poll and after it: libuv runs timers before polling, and what they bring must not
     // wait until something comes in on a socket.
@@ -41,6 +44,10 @@
     uv_timer_t timer_{};
     std::function<void()> handOver_;
     std::set<std::pair<Nanos, Alarm*>> alarms_;
+    Nanos pollDue_ = 0;    // when the poll ends at the latest, if nobody holds the process up
+    Nanos polledAt_ = 0;   // when the last one ended
+    Nanos arrivedBy_ = 0;  // known before the poll, else 0
+    bool reading_ = false;
 };
 
 // Rings once for each time it is set.
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -1,6 +1,8 @@
 // The program as its peers see it: clients, caches, the origin and discovery are sockets of the story.
 #include <doctest/doctest.h>
 
+#include <chrono>
+
 #include "helper.hpp"
 
 using namespace poppyscale::test;
@@ -158,6 +160,19 @@
     serveOne(stage, client, "d");
 }
 
+TEST_CASE("a router that was held up answers by the time limit its client counts, not by one of its own") {
+    Stage stage;
+    Socket client = stage.client();
+    CHECK(client.say(array({"PING"})).answer() == "+PONG");
+    stage.program.signal(SIGSTOP);
+    client.say(set("k", "c=pay,d=900"));
+    const auto sent = std::chrono::steady_clock::now();
+    usleep(600'000);
+    stage.program.signal(SIGCONT);
+    CHECK(begins(client.answer(), "-ERR"));
+    CHECK(std::chrono::steady_clock::now() - sent < std::chrono::milliseconds(1'200));
+}
+
 TEST_CASE("a cache that refuses connections leaves the command unrun") {
     Stage stage;
     stage.caches[0].shut();
