A client is let be as long as something moves, and closed when nothing does

Seen on rereading Client::flush: the 30 s for a half-sent command or unread answers ran on although commands went by, so that a client whose reads always end in the middle of a command would have lost its connection and what it was owed. Now the wait begins anew with any progress; it is twice the settings' idle time. The story fails with the old form.

--- a/src/program/program.cpp
+++ b/src/program/program.cpp
@@ -45,7 +45,7 @@
     const auto listen = addressOf(start_.listen, "listen");
     const auto discovery = addressOf(start_.discovery, "discovery");
     core_.emplace(loop_, pool_, start_, log);
-    clients_.emplace(loop_, pool_, *core_, mostClients(start_), start_.memory / 8);
+    clients_.emplace(loop_, pool_, *core_, mostClients(start_), start_.memory / 8, 2 * start_.idle);
     // What discovery holds back for a call that waits counts as told soon after; the shorter the wait, the
     // sooner a silent discovery is noticed.
     const Nanos wait = std::clamp(start_.terms.askWithin, kLeastWait, kMostWait);
--- a/src/routing/clients.cpp
+++ b/src/routing/clients.cpp
@@ -6,10 +6,9 @@
 namespace {
 
 constexpr Nanos kMillisecond = 1'000'000;
-constexpr Nanos kPatience = 30'000 * kMillisecond;  // with a half-sent command, or with answers left unread
-constexpr Nanos kLinger = 1'000 * kMillisecond;     // for the last answer to be read before the end
-constexpr std::size_t kMostInLine = 128;            // commands of one connection that wait for their answers
-constexpr std::size_t kMostUnsent = 256 * 1024;     // then no more of its commands are read
+constexpr Nanos kLinger = 1'000 * kMillisecond;  // for the last answer to be read before the end
+constexpr std::size_t kMostInLine = 128;         // commands of one connection that wait for their answers
+constexpr std::size_t kMostUnsent = 256 * 1024;  // then no more of its commands are read
 constexpr protocol::Decoder::Bounds kBounds{64 * 1024, 16, 1, 80 * 1024, true};
 
 std::string wordsOf(const Final& final) {
@@ -33,7 +32,7 @@
     explicit Client(Clients& clients)
         : clients_(clients),
           connection_(clients.loop_, clients.pool_, *this),
-          patience_(clients.loop_, [this] { clients_.drop(*this); }) {}
+          patience_(clients.loop_, [this] { lookAgain(); }) {}
 
     ~Client() override {
         clients_.ready_ -= ready_;
@@ -76,6 +75,7 @@
                 reply("-ERR Protocol error: " + decoder_.problem() + "\r\n", true);
                 break;
             }
+            ++commands_;
             auto said = protocol::readCommand(decoder_.take());
             if (auto* aside = std::get_if<protocol::Aside>(&said)) {
                 reply(std::move(aside->answer), aside->thenClose);
@@ -126,14 +126,21 @@
         if (ending_ && line_.empty()) return;
         if (clients_.closing_ && mayClose()) return clients_.drop(*this);
         connection_.read(line_.size() < kMostInLine && connection_.unsent() < kMostUnsent);
-        if (decoder_.within() || connection_.unsent() > 0) {
-            if (!waits_) patience_.set(transport::Loop::now() + kPatience);
-            waits_ = true;
-        } else if (waits_) {
+        if (!waitsForClient())
             patience_.clear();
-            waits_ = false;
-        }
+        else if (!patience_.isSet())
+            beginWait();
+    }
+
+    // A half-sent command, or answers that are not read.
+    bool waitsForClient() const { return decoder_.within() || connection_.unsent() > 0; }
+    std::uint64_t progress() const { return commands_ + connection_.sent(); }
+    void beginWait() {
+        before_ = progress();
+        patience_.set(transport::Loop::now() + clients_.patience_);
     }
+    // One that is slow, or always has the next command half sent, is let be as long as something moves.
+    void lookAgain() { ending_ || progress() == before_ ? clients_.drop(*this) : beginWait(); }
 
     Clients& clients_;
     transport::Connection connection_;
@@ -142,16 +149,18 @@
     std::list<Slot> line_;
     std::size_t ready_ = 0;  // bytes of answers that stand behind one still to come
     bool ending_ = false;    // nothing more is read of it
-    bool waits_ = false;     // for the client to read, or to finish what it has begun
+    std::uint64_t commands_ = 0;
+    std::uint64_t before_ = 0;  // the progress when the wait for the client began
 };
 
 Clients::Clients(transport::Loop& loop, transport::Pool& pool, Core& core, std::size_t most,
-                 std::size_t mostReady)
+                 std::size_t mostReady, Nanos patience)
     : loop_(loop),
       pool_(pool),
       core_(core),
       most_(most),
       mostReady_(mostReady),
+      patience_(patience),
       listener_(std::make_unique<transport::Listener>(loop, [this](const auto& finish) { admit(finish); })) {}
 
 Clients::~Clients() = default;
--- a/src/routing/clients.hpp
+++ b/src/routing/clients.hpp
@@ -16,8 +16,8 @@
 
 class Clients {
   public:
-    Clients(transport::Loop& loop, transport::Pool& pool, Core& core, std::size_t most,
-            std::size_t mostReady);
+    Clients(transport::Loop& loop, transport::Pool& pool, Core& core, std::size_t most, std::size_t mostReady,
+            Nanos patience);
     ~Clients();
 
     std::string listen(const transport::Address& at) { return listener_->listen(at); }
@@ -38,6 +38,7 @@
     Core& core_;
     std::size_t most_;
     std::size_t mostReady_;
+    Nanos patience_;         // with a client that neither sends nor reads what it should
     std::size_t ready_ = 0;  // bytes of answers that can't go out yet, over all clients
     bool closing_ = false;
     std::unique_ptr<transport::Listener> listener_;
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -44,6 +44,7 @@
     // What the kernel has not taken yet; libuv has the first piece of it, and small ones share a buffer.
     std::deque<Piece> queue;
     std::size_t queued = 0;
+    std::uint64_t sent = 0;
 
     Handle(Pool& pool, Owner& owner) : pool(pool), owner(&owner) { tcp.data = write.data = this; }
     ~Handle() {
@@ -79,6 +80,7 @@
     }
     void written(int status) {
         queued -= queue.front().size;
+        sent += queue.front().size;
         pool.give(std::move(queue.front().buffer));
         queue.pop_front();
         if (!owner) return;
@@ -149,12 +151,15 @@
         const int written = uv_try_write(handle_->stream(), &piece, 1);
         if (written < 0 && written != UV_EAGAIN) return false;
         if (written > 0) bytes.remove_prefix(static_cast<std::size_t>(written));
+        if (written > 0) handle_->sent += static_cast<std::uint64_t>(written);
     }
     return handle_->enqueue(bytes);
 }
 
 std::size_t Connection::unsent() const { return handle_->queued; }
 
+std::uint64_t Connection::sent() const { return handle_->sent; }
+
 void Connection::finishSending() {
     uv_shutdown(&handle_->shutdown, handle_->stream(), [](uv_shutdown_t*, int) {});
 }
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -3,6 +3,7 @@
 
 #include <netinet/in.h>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -41,8 +42,9 @@
     // False when the peer is gone or the pool is empty; the connection is of no further use then.
     bool write(std::string_view bytes);
     std::size_t unsent() const;
-    void finishSending();    // after what is written; reading goes on
-    bool bytesWait() const;  // something stands in the kernel that was not read
+    std::uint64_t sent() const;  // bytes in all that the kernel has taken
+    void finishSending();        // after what is written; reading goes on
+    bool bytesWait() const;      // something stands in the kernel that was not read
 
   private:
     struct Handle;
--- a/src/transport/loop.hpp
+++ b/src/transport/loop.hpp
@@ -60,6 +60,7 @@
 
     void set(Nanos at);
     void clear();
+    bool isSet() const { return at_ != 0; }
 
   private:
     friend class Loop;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -321,3 +321,20 @@
     CHECK(cache.ended());
     serveOne(stage, client, "b");
 }
+
+TEST_CASE("a command left half sent ends the connection, a next one always half sent does not") {
+    auto start = smallStart();
+    start["settings"]["allowed"]["connIdleUs"] = 400'000;
+    Stage stage(1, start);
+    Socket stuck = stage.client();
+    stuck.say(get("k").substr(0, 10));
+    Socket busy = stage.client();
+    const std::string ping = array({"PING"});
+    busy.say(ping.substr(0, 5));
+    for (int i = 0; i < 8; ++i) {
+        usleep(250'000);
+        busy.say(ping.substr(5) + ping.substr(0, 5));
+        CHECK(busy.answer() == "+PONG");
+    }
+    CHECK(stuck.ended());
+}
