--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <random>
 
 #include "helper.hpp"
 
@@ -338,3 +339,32 @@
     }
     CHECK(stuck.ended());
 }
+
+TEST_CASE("mutated bytes from clients, caches and the origin leave the router serving") {
+    Stage stage;
+    std::mt19937 chance(11);
+    const auto mutated = [&](std::string text) {
+        for (auto left = chance() % 4; left > 0; --left)
+            text[chance() % text.size()] = "*$-:+\r\n019\0Z"[chance() % 12];
+        return text.substr(0, chance() % 3 ? text.size() : chance() % text.size());
+    };
+    const std::vector<std::string> said{get("a") + get("b"), array({"PING"}) + get("c"),
+                                        set("d", "c=mark,d=300"), get("e", "c=read,d=0"),
+                                        set("f", "c=pay,d=200,k=1", std::string(9000, 'x'))};
+    for (int i = 0; i < 150; ++i) {
+        Socket client = stage.client();
+        client.say(mutated(said[chance() % said.size()]));
+        while (!stage.caches[0].quiet(2)) {
+            Socket cache = stage.caches[0].accept();
+            cache.say(mutated(chance() % 2 ? hit("value") : std::string(kMiss)));
+            if (chance() % 2) cache.reset();
+        }
+        while (!stage.origin.quiet(2)) stage.origin.accept().say(mutated(http(200, "fetched")));
+        if (chance() % 2) client.reset();
+    }
+    Socket client = stage.client();
+    CHECK(client.say(array({"PING"})).answer() == "+PONG");
+    usleep(1'500'000);
+    stage.program.signal(SIGTERM);
+    CHECK(stage.program.exitCode() == 0);
+}
