A connection found broken before the last byte was taken leaves the command unrun

Seen on rereading Link::broke: a write that the kernel refused at once left nothing queued, so it was told as cut (may have run) and an effectful command was terminated that could have been declined. Likewise a queued piece whose write failed no longer counted as unsent. Lines: Link::begin, Connection::Handle::written; Loop's destructor closes its handles also when it was told to stop before it ran, which the story showed as a leak. The story fails with the old form.

--- a/src/routing/upstream.cpp
+++ b/src/routing/upstream.cpp
@@ -45,7 +45,7 @@
         const Nanos wait = relay.giveUpAt - transport::Loop::now();
         if (!connection_.write(upstream_.origin_ ? protocol::originRequest(relay.said, upstream_.host_)
                                                  : protocol::cacheCommand(relay.said, wait)))
-            broke();
+            broke(Ending::noRoute);  // its last byte was not taken
     }
     // Whether the command's last byte is with the kernel: before that it can't have run.
     bool written() const { return connection_.unsent() == 0; }
@@ -83,7 +83,7 @@
         if (!up_) return neverUp();
         if (relay_ && http_ && written() && http_->end() == protocol::HttpAnswer::State::whole)
             return end(readHttp(), false);
-        broke();
+        broke(written() ? Ending::cut : Ending::noRoute);
     }
 
     void neverUp() {
@@ -94,9 +94,8 @@
         if (relay) upstream.shared_.owner.relayEnded(*relay, {Ending::noRoute, {}});
     }
 
-    void broke() {
+    void broke(Ending ending) {
         Upstream& upstream = upstream_;
-        const Ending ending = written() ? Ending::cut : Ending::noRoute;
         Relay* const relay = take();
         upstream.drop(*this);
         if (relay) upstream.shared_.owner.relayEnded(*relay, {ending, {}});
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -79,8 +79,11 @@
                         [](uv_write_t* request, int status) { of(request->data).written(status); }) == 0;
     }
     void written(int status) {
-        queued -= queue.front().size;
-        sent += queue.front().size;
+        // What failed stays counted as unsent: whoever asks must not take it for written.
+        if (status == 0) {
+            queued -= queue.front().size;
+            sent += queue.front().size;
+        }
         pool.give(std::move(queue.front().buffer));
         queue.pop_front();
         if (!owner) return;
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -25,8 +25,9 @@
     for (auto* handle : {reinterpret_cast<uv_handle_t*>(&prepare_), reinterpret_cast<uv_handle_t*>(&check_),
                          reinterpret_cast<uv_handle_t*>(&timer_)})
         uv_close(handle, nullptr);
-    // Handles close in a turn of their own.
-    uv_run(&loop_, UV_RUN_DEFAULT);
+    // Handles close in a turn of their own; one that was told to stop before it ran would close none.
+    while (uv_run(&loop_, UV_RUN_DEFAULT) != 0) {
+    }
     uv_loop_close(&loop_);
 }
 
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -5,7 +5,9 @@
 #include <random>
 
 #include "helper.hpp"
+#include "routing/upstream.hpp"
 
+using namespace poppyscale;
 using namespace poppyscale::test;
 
 namespace {
@@ -107,6 +109,40 @@
     CHECK(begins(client.answer(), "-BUSY"));
 }
 
+TEST_CASE("a kept connection found broken before the command is written leaves it unrun") {
+    transport::Pool pool(64);
+    transport::Loop loop;
+    struct Owner : routing::RelayOwner {
+        void relayEnded(routing::Relay&, protocol::Outcome outcome) override {
+            endings.push_back(outcome.ending);
+            loop.stop();
+        }
+        explicit Owner(transport::Loop& loop) : loop(loop) {}
+        transport::Loop& loop;
+        std::vector<Ending> endings;
+    } owner(loop);
+    routing::Links links{loop, pool, owner, 8, 1'000 * ms, 200 * ms, {}, 0};
+    Door door;
+    routing::Upstream cache(links, "c0", false);
+    cache.listed(Presence::ready, transport::parseAddress(door.address()), door.address());
+    protocol::Command said;
+    said.info = "c=pay,d=900";
+    routing::Relay first(loop, said, cache), second(loop, said, cache);
+    first.giveUpAt = second.giveUpAt = transport::Loop::now() + 5'000 * ms;
+    transport::Alarm pause(loop, [&] { loop.stop(); });
+    pause.set(transport::Loop::now() + 100 * ms);
+    cache.send(first);
+    loop.run();
+    Socket served = door.accept();
+    CHECK(served.command().size() == 4);
+    served.say(hit("v"));
+    loop.run();
+    served.reset();
+    usleep(50'000);
+    cache.send(second);
+    CHECK(owner.endings == std::vector{Ending::answered, Ending::noRoute});
+}
+
 TEST_CASE("answers go out in the order of the commands, and no command waits behind another at a cache") {
     Stage stage;
     Socket client = stage.client();
