--- a/src/protocol/command.cpp
+++ b/src/protocol/command.cpp
@@ -110,7 +110,7 @@
     return protocol::command(words);
 }
 
-std::string originRequest(const Command& command, std::string_view host) {
+std::string originCall(const Command& command, std::string_view host) {
     std::string out(command.write ? "PUT " : "GET ");
     out.append(pathOf(command.key)).append(" HTTP/1.1\r\nHost: ").append(host);
     out.append("\r\nX-Call-Id: ").append(command.id).append("\r\nX-Call-Info: ").append(command.info);
--- a/src/protocol/command.hpp
+++ b/src/protocol/command.hpp
@@ -32,7 +32,7 @@
 
 // For a cache: unchanged but for how long the router will wait.
 std::string cacheCommand(const Command& command, Nanos wait);
-std::string originRequest(const Command& command, std::string_view host);
+std::string originCall(const Command& command, std::string_view host);
 
 // What a relay's answer says: its ending, and the value or receipt when it is answered.
 struct Outcome {
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -73,8 +73,7 @@
         if (place.startedMs > 0)
             entry.cameUp = std::max<Nanos>(place.startedMs * kMillisecond + clockLead_, 1);
         auto& upstream = upstreams_[entry.name];
-        if (!upstream)
-            upstream = std::make_unique<Upstream>(links_, entry.name, aside_ && entry.shape == originShape_);
+        if (!upstream) upstream = std::make_unique<Upstream>(links_, aside_ && entry.shape == originShape_);
         const auto address = transport::parseAddress(place.address);
         if (!address && entry.presence != Presence::gone)
             log_(fmt::format("{} is listed without an address to connect to", entry.name));
--- a/src/routing/upstream.cpp
+++ b/src/routing/upstream.cpp
@@ -1,7 +1,7 @@
 #include "routing/upstream.hpp"
 
 #include <algorithm>
-#include <variant>
+#include <utility>
 
 #include "protocol/http.hpp"
 #include "protocol/resp.hpp"
@@ -43,7 +43,7 @@
         relay_ = &relay;
         relay.on = this;
         const Nanos wait = relay.giveUpAt - transport::Loop::now();
-        if (!connection_.write(upstream_.origin_ ? protocol::originRequest(relay.said, upstream_.host_)
+        if (!connection_.write(upstream_.origin_ ? protocol::originCall(relay.said, upstream_.host_)
                                                  : protocol::cacheCommand(relay.said, wait)))
             broke(Ending::noRoute);  // its last byte was not taken
     }
@@ -161,8 +161,7 @@
         if (!u->waiting_.empty()) u->tend();
 }
 
-Upstream::Upstream(Links& links, std::string name, bool origin)
-    : shared_(links), name_(std::move(name)), origin_(origin) {
+Upstream::Upstream(Links& links, bool origin) : shared_(links), origin_(origin) {
     shared_.upstreams.push_back(this);
 }
 
--- a/src/routing/upstream.hpp
+++ b/src/routing/upstream.hpp
@@ -54,7 +54,7 @@
 
 class Upstream {
   public:
-    Upstream(Links& links, std::string name, bool origin);
+    Upstream(Links& links, bool origin);
     ~Upstream();
     Upstream(const Upstream&) = delete;
     Upstream& operator=(const Upstream&) = delete;
@@ -76,7 +76,6 @@
     Nanos longestIdle() const;
 
     Links& shared_;
-    std::string name_;
     bool origin_;
     Presence presence_ = Presence::gone;
     std::optional<transport::Address> address_;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -123,7 +123,7 @@
     } owner(loop);
     routing::Links links{loop, pool, owner, 8, 1'000 * ms, 200 * ms, {}, 0};
     Door door;
-    routing::Upstream cache(links, "c0", false);
+    routing::Upstream cache(links, false);
     cache.listed(Presence::ready, transport::parseAddress(door.address()), door.address());
     protocol::Command said;
     said.info = "c=pay,d=900";
