Where the simulator pushes the list, a router on sockets asks for it all the same

Found on rereading: docs/router.md said so, the code did not, so that routers of such a deployment never watched the list and went on with the one they were started with. readStart() now asks always. The story fails with the old form.

--- a/src/protocol/discovery.cpp
+++ b/src/protocol/discovery.cpp
@@ -102,6 +102,9 @@
         Paths paths;
         flatten(json.at("settings"), "", paths);
         start.terms = readTerms(paths, seed);
+        // Nothing is pushed on sockets: a list that the simulator pushes would never be heard of.
+        start.terms.listOnRequest = true;
+        start.terms.askWithin = paths.time("rules.askWithinUs");
         start.idle = paths.time("allowed.connIdleUs");
         start.connectWithin = paths.time("allowed.connectTimeoutUs");
         start.mostOpen = static_cast<std::size_t>(paths.whole("allowed.maxOpen", 100'000'000));
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -247,6 +247,13 @@
     CHECK(huge.ended());
 }
 
+TEST_CASE("where the simulator pushes the list, it is asked for all the same") {
+    auto start = smallStart();
+    start["settings"]["membershipMode"] = "pushed";
+    Stage stage(1, start);
+    CHECK(begins(stage.discovery.accept().line(), "GET /api/targets?after=7&wait_ms="));
+}
+
 TEST_CASE("the watch goes on at once and what it tells is followed") {
     Stage stage(2);
     Socket discovery = stage.discovery.accept();
