One parser of numbers, one way to lose a connection, bounds worked out once

From a last read of the change, behaviour as it was: protocol/number.hpp serves the wire, the settings, RESP, commands and the seed; Link::lose() serves connections that never came up and those that broke; the bound of connections to caches stood in two places; Core's destructor did nothing needed; kMillisecond stood in seven files.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -15,7 +15,6 @@
 namespace poppyscale {
 namespace {
 
-constexpr Nanos kMillisecond = 1'000'000;
 constexpr Nanos kSecond = 1'000 * kMillisecond;
 constexpr Nanos kNever = std::numeric_limits<Nanos>::max();
 
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -13,6 +13,8 @@
 using Nanos = std::int64_t;
 using CommandId = std::uint64_t;
 
+constexpr Nanos kMillisecond = 1'000'000;
+
 enum class Effect : std::uint8_t { pure, receipted, effectful };
 enum class Group : std::uint8_t { all, zone, cell };
 enum class Presence : std::uint8_t { gone, ready, draining };
--- a/src/program/program.cpp
+++ b/src/program/program.cpp
@@ -8,7 +8,6 @@
 namespace poppyscale::program {
 namespace {
 
-constexpr Nanos kMillisecond = 1'000'000;
 // Clients go on connecting for up to 0.4 s after the signal.
 constexpr Nanos kLeaving = 480 * kMillisecond;
 // Beyond the longest wait of a client: answers just at its end are still on their way.
@@ -18,8 +17,10 @@
 constexpr std::size_t kOwnDescriptors = 32;          // standard streams, loop, signals, listener, discovery
 constexpr std::size_t kMemoryOfClient = 128 * 1024;  // a half-sent command and what its decoder holds
 
+std::size_t mostLinks(const protocol::Start& start) { return start.descriptors * 2 / 5; }
+
 std::size_t mostClients(const protocol::Start& start) {
-    const std::size_t left = start.descriptors - start.descriptors * 2 / 5 - kOwnDescriptors;
+    const std::size_t left = start.descriptors - mostLinks(start) - kOwnDescriptors;
     return std::max<std::size_t>(std::min(left, start.memory / 2 / kMemoryOfClient), 1);
 }
 
@@ -44,7 +45,7 @@
     }
     const auto listen = addressOf(start_.listen, "listen");
     const auto discovery = addressOf(start_.discovery, "discovery");
-    core_.emplace(loop_, pool_, start_, log);
+    core_.emplace(loop_, pool_, start_, mostLinks(start_), log);
     clients_.emplace(loop_, pool_, *core_, mostClients(start_), start_.memory / 8, 2 * start_.idle);
     // What discovery holds back for a call that waits counts as told soon after; the shorter the wait, the
     // sooner a silent discovery is noticed.
--- a/src/protocol/command.cpp
+++ b/src/protocol/command.cpp
@@ -2,12 +2,12 @@
 
 #include <algorithm>
 #include <cctype>
-#include <charconv>
+
+#include "protocol/number.hpp"
 
 namespace poppyscale::protocol {
 namespace {
 
-constexpr Nanos kMillisecond = 1'000'000;
 constexpr std::int64_t kLongestWaitMs = 3'600'000;
 constexpr std::size_t kLongestWord = 1024;  // of a key, an id or a list
 
@@ -87,9 +87,7 @@
     eachItem(command.info, [&](std::string_view item, std::string_view text, std::string_view) {
         if (item == "c") command.verb = text;
         if (item == "t") command.customer = text;
-        if (item != "d") return;
-        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), patience);
-        if (error != std::errc{} || end != text.data() + text.size()) patience = -1;
+        if (item == "d") patience = parse<std::int64_t>(text).value_or(-1);
     });
     if (patience < 0 || command.verb.empty()) return wrong("the list must tell c and d, d in milliseconds");
     command.patience = std::min(patience, kLongestWaitMs) * kMillisecond;
--- a/src/protocol/discovery.cpp
+++ b/src/protocol/discovery.cpp
@@ -1,10 +1,11 @@
 #include "protocol/discovery.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
 
+#include "protocol/number.hpp"
+
 namespace poppyscale::protocol {
 namespace {
 
@@ -87,10 +88,8 @@
         start.listen = json.at("listen").get<std::string>();
         start.discovery = json.at("discovery").get<std::string>();
         const auto digits = json.at("seed").get<std::string>();
-        std::uint64_t seed = 0;
-        const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), seed, 16);
-        if (error != std::errc{} || end != digits.data() + digits.size())
-            throw Malformed("seed is not a hexadecimal number");
+        const auto seed = parse<std::uint64_t>(digits, 16);
+        if (!seed) throw Malformed("seed is not a hexadecimal number");
         const Json& limits = json.at("limits");
         const double megabytes = limits.at("memory_mb").get<double>();
         const auto sockets = limits.at("sockets").get<std::int64_t>();
@@ -101,7 +100,7 @@
         if (json.contains("known")) start.known = rosterOf(json.at("known"));
         Paths paths;
         flatten(json.at("settings"), "", paths);
-        start.terms = readTerms(paths, seed);
+        start.terms = readTerms(paths, *seed);
         // Nothing is pushed on sockets: a list that the simulator pushes would never be heard of.
         start.terms.listOnRequest = true;
         start.terms.askWithin = paths.time("rules.askWithinUs");
--- a/src/protocol/resp.cpp
+++ b/src/protocol/resp.cpp
@@ -1,7 +1,8 @@
 #include "protocol/resp.hpp"
 
 #include <algorithm>
-#include <charconv>
+
+#include "protocol/number.hpp"
 
 namespace poppyscale::protocol {
 namespace {
@@ -62,14 +63,13 @@
     const char kind = line_[0];
     if (kind == '+') return put({Value::Kind::simple, std::string(rest), {}});
     if (kind == '-') return put({Value::Kind::error, std::string(rest), {}});
-    std::int64_t number = 0;
-    const auto [end, error] = std::from_chars(rest.data(), rest.data() + rest.size(), number);
-    if (error != std::errc{} || end != rest.data() + rest.size()) return fail("not a number");
+    const auto number = parse<std::int64_t>(rest);
+    if (!number) return fail("not a number");
     if (kind == ':') return put({Value::Kind::integer, std::string(rest), {}});
     if (kind != '$' && kind != '*') return fail("unknown type");
-    if (number == -1 && !bounds_.onlyCommands) return put({});
-    if (number < 0) return fail("negative length");
-    const auto size = static_cast<std::size_t>(number);
+    if (*number == -1 && !bounds_.onlyCommands) return put({});
+    if (*number < 0) return fail("negative length");
+    const auto size = static_cast<std::size_t>(*number);
     if (kind == '$') {
         if (size > bounds_.bulk) return fail("bulk string too long");
         bulk_ = {Value::Kind::bulk, {}, {}};
--- a/src/protocol/terms.cpp
+++ b/src/protocol/terms.cpp
@@ -1,9 +1,9 @@
 #include "protocol/terms.hpp"
 
 #include <array>
-#include <charconv>
 #include <cmath>
-#include <optional>
+
+#include "protocol/number.hpp"
 
 namespace poppyscale::protocol {
 namespace {
@@ -25,14 +25,6 @@
     throw Malformed("setting " + path + " has an unknown value");
 }
 
-template <class T>
-std::optional<T> parse(std::string_view value) {
-    T result{};
-    const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), result);
-    if (error != std::errc{} || end != value.data() + value.size()) return std::nullopt;
-    return result;
-}
-
 std::string_view item(std::string_view list, std::int64_t index) {
     for (; index > 0; --index) {
         const auto comma = list.find(',');
--- a/src/routing/clients.cpp
+++ b/src/routing/clients.cpp
@@ -5,7 +5,6 @@
 namespace poppyscale::routing {
 namespace {
 
-constexpr Nanos kMillisecond = 1'000'000;
 constexpr Nanos kLinger = 1'000 * kMillisecond;  // for the last answer to be read before the end
 constexpr std::size_t kMostInLine = 128;         // commands of one connection that wait for their answers
 constexpr std::size_t kMostUnsent = 256 * 1024;  // then no more of its commands are read
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -9,8 +9,6 @@
 namespace poppyscale::routing {
 namespace {
 
-constexpr Nanos kMillisecond = 1'000'000;
-
 // Taken once: a clock that is set later must not make a cache's start time look like another start.
 std::int64_t leadOfClock() {
     const auto wall = std::chrono::duration_cast<std::chrono::nanoseconds>(
@@ -24,12 +22,13 @@
 
 }  // namespace
 
-Core::Core(transport::Loop& loop, transport::Pool& pool, protocol::Start& start, Log log)
+Core::Core(transport::Loop& loop, transport::Pool& pool, const protocol::Start& start, std::size_t mostLinks,
+           Log log)
     : loop_(loop),
       log_(std::move(log)),
       // Caches close an idle connection at the settings' time at the latest: well before it none crosses
       // that.
-      links_{loop, pool, *this, start.descriptors * 2 / 5, start.idle / 2, start.connectWithin, {}, 0},
+      links_{loop, pool, *this, mostLinks, start.idle / 2, start.connectWithin, {}, 0},
       mostOpen_(start.mostOpen),
       mostHeld_(start.memory / 8),
       clockLead_(leadOfClock()),
@@ -40,11 +39,6 @@
     listed(NewsKind::cached, start.known);
 }
 
-Core::~Core() {
-    // Relays hold alarms and point to upstreams.
-    commands_.clear();
-}
-
 Command* Core::take(Asker& asker, protocol::Command said, Nanos now) {
     if (commands_.size() >= mostOpen_ || held_ >= mostHeld_) return nullptr;
     auto made = std::make_unique<Command>();
--- a/src/routing/core.hpp
+++ b/src/routing/core.hpp
@@ -47,8 +47,8 @@
 
 class Core : private Host, private RelayOwner {
   public:
-    Core(transport::Loop& loop, transport::Pool& pool, protocol::Start& start, Log log);
-    ~Core() override;
+    Core(transport::Loop& loop, transport::Pool& pool, const protocol::Start& start, std::size_t mostLinks,
+         Log log);
 
     // Null when the router holds as many as it may; the asker has not been told anything then.
     Command* take(Asker& asker, protocol::Command said, Nanos now);
--- a/src/routing/upstream.cpp
+++ b/src/routing/upstream.cpp
@@ -47,6 +47,7 @@
                                                  : protocol::cacheCommand(relay.said, wait)))
             broke(Ending::noRoute);  // its last byte was not taken
     }
+    void neverUp() { lose(upstream_.nextWaiting(), Ending::noRoute); }
     // Whether the command's last byte is with the kernel: before that it can't have run.
     bool written() const { return connection_.unsent() == 0; }
     Relay* take() {
@@ -86,17 +87,11 @@
         broke(written() ? Ending::cut : Ending::noRoute);
     }
 
-    void neverUp() {
-        // Taken first, or another connection would be opened for it.
-        Upstream& upstream = upstream_;
-        Relay* const relay = upstream.nextWaiting();
-        upstream.drop(*this);
-        if (relay) upstream.shared_.owner.relayEnded(*relay, {Ending::noRoute, {}});
-    }
+    void broke(Ending ending) { lose(take(), ending); }
 
-    void broke(Ending ending) {
+    // The relay is taken first: a waiting one would have another connection opened for it.
+    void lose(Relay* relay, Ending ending) {
         Upstream& upstream = upstream_;
-        Relay* const relay = take();
         upstream.drop(*this);
         if (relay) upstream.shared_.owner.relayEnded(*relay, {ending, {}});
     }
@@ -205,10 +200,7 @@
         ++shared_.count;
         ++opening;
         Link& link = *links_.back();
-        if (link.open()) continue;
-        Relay* const relay = nextWaiting();
-        drop(link);
-        return shared_.owner.relayEnded(*relay, {Ending::noRoute, {}});
+        if (!link.open()) return link.neverUp();
     }
 }
 
--- a/src/routing/upstream.hpp
+++ b/src/routing/upstream.hpp
@@ -13,7 +13,6 @@
 
 namespace poppyscale::routing {
 
-struct Command;
 class Link;
 class Upstream;
 struct Relay;
--- a/src/routing/watch.cpp
+++ b/src/routing/watch.cpp
@@ -5,7 +5,6 @@
 namespace poppyscale::routing {
 namespace {
 
-constexpr Nanos kMillisecond = 1'000'000;
 constexpr std::size_t kLongestList = 8 * 1024 * 1024;
 // Past the wait by more than this, whatever discovery had to tell counts as told.
 constexpr Nanos kGrace = 2'000 * kMillisecond;
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -28,7 +28,7 @@
     return a.sin_addr.s_addr == b.sin_addr.s_addr && a.sin_port == b.sin_port;
 }
 
-// Outlives its Connection until libuv has let go of it: `connection` is null from then on.
+// Outlives its Connection until libuv has let go of it: `owner` is null from then on.
 struct Connection::Handle {
     struct Piece {
         std::unique_ptr<Buffer> buffer;
@@ -153,8 +153,10 @@
         uv_buf_t piece = uv_buf_init(const_cast<char*>(bytes.data()), static_cast<unsigned>(bytes.size()));
         const int written = uv_try_write(handle_->stream(), &piece, 1);
         if (written < 0 && written != UV_EAGAIN) return false;
-        if (written > 0) bytes.remove_prefix(static_cast<std::size_t>(written));
-        if (written > 0) handle_->sent += static_cast<std::uint64_t>(written);
+        if (written > 0) {
+            bytes.remove_prefix(static_cast<std::size_t>(written));
+            handle_->sent += static_cast<std::uint64_t>(written);
+        }
     }
     return handle_->enqueue(bytes);
 }
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -6,7 +6,6 @@
 namespace poppyscale::transport {
 namespace {
 
-constexpr Nanos kMillisecond = 1'000'000;
 constexpr Nanos kLongestPoll = 20 * kMillisecond;               // so that being held up in one shows
 constexpr Nanos kHeldUp = 10 * kMillisecond;                    // shorter ones are any busy machine's
 constexpr Nanos kSetForward = 1'000'000 * kMillisecond * 1000;  // eleven days
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -5,9 +5,13 @@
 #include <cmath>
 #include <limits>
 
+#include "protocol/number.hpp"
+
 namespace poppyscale::wire {
 namespace {
 
+using protocol::parse;
+
 constexpr std::int64_t kNanosPerMicro = 1000;
 // Far past any clock, and a few of them still add up without overflow.
 constexpr std::int64_t kMostMicros = std::numeric_limits<std::int64_t>::max() / kNanosPerMicro / 8;
@@ -42,14 +46,6 @@
                                                                        {"stale_send", Ending::notSent},
                                                                        {"none_here", Ending::noneHere}}};
 
-template <class T>
-std::optional<T> parse(std::string_view value) {
-    T result{};
-    const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), result);
-    if (error != std::errc{} || end != value.data() + value.size()) return std::nullopt;
-    return result;
-}
-
 std::optional<double> parseReal(std::string_view value) {
     const auto real = parse<double>(value);
     return real && std::isfinite(*real) ? real : std::nullopt;
@@ -114,11 +110,9 @@
 
 CommandId Line::command() const {
     const auto ref = text("ref");
-    CommandId id = 0;
-    const auto [end, error] = std::from_chars(ref.data(), ref.data() + ref.size(), id, 16);
-    if (ref.size() != 16 || error != std::errc{} || end != ref.data() + ref.size())
-        fail("has a field that is not 16 hex digits", "ref");
-    return id;
+    const auto id = parse<CommandId>(ref, 16);
+    if (ref.size() != 16 || !id) fail("has a field that is not 16 hex digits", "ref");
+    return *id;
 }
 
 Terms readTerms(const Line& configure) {
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -28,6 +28,16 @@
     return cache;
 }
 
+// Two commands of one client, each out at the cache on a connection of its own.
+std::pair<Socket, Socket> sendTwo(Stage& stage, Socket& client) {
+    client.say(get("a") + get("b"));
+    Socket first = stage.caches[0].accept();
+    Socket second = stage.caches[0].accept();
+    CHECK(first.command().size() == 4);
+    CHECK(second.command().size() == 4);
+    return {std::move(first), std::move(second)};
+}
+
 }  // namespace
 
 TEST_CASE("a read is answered by the cache, and the connection is used again") {
@@ -162,11 +172,7 @@
 TEST_CASE("a client that leaves midway takes nothing with it") {
     Stage stage;
     Socket leaving = stage.client();
-    leaving.say(get("a") + get("b"));
-    Socket first = stage.caches[0].accept();
-    Socket second = stage.caches[0].accept();
-    first.command();
-    second.command();
+    auto [first, second] = sendTwo(stage, leaving);
     leaving.reset();
     Socket client = stage.client();
     CHECK(client.say(array({"PING"})).answer() == "+PONG");
@@ -181,11 +187,7 @@
 TEST_CASE("a relay that is given up closes its connection, and silent ones beside it are not used again") {
     Stage stage;
     Socket client = stage.client();
-    client.say(get("a") + get("b"));
-    Socket first = stage.caches[0].accept();
-    Socket second = stage.caches[0].accept();
-    first.command();
-    second.command();
+    auto [first, second] = sendTwo(stage, client);
     first.say(hit("v"));
     second.say(hit("v"));
     client.answer();
