SIGHUP reads the configuration anew and asks discovery where it now is

Checked: exit code 129 is the signal's default; program.cpp watched SIGTERM and SIGINT only (watchSignals), and nothing could change the address that Watch was made with (watch.cpp). Change: signals are RAII handles that are up before the listener; SIGHUP is blocked until then. The watch moves: the old call is dropped without counting as a failure, the whole list is asked for at once, tries begin with short pauses again, and connecting has a limit of its own.

--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -39,11 +39,13 @@
     Nanos remembered = 0;      // and for how long after the first relay that may have run
     Nanos goal = 0;
     double utility = 1;
+    bool operator==(const Verb&) const = default;
 };
 
 struct Customer {
     std::string name;
     double quotaPerSecond = 0;  // over all routers together
+    bool operator==(const Customer&) const = default;
 };
 
 // What a deployment promises and allows, as far as the decisions read it.
@@ -63,6 +65,7 @@
     Nanos fallSpan = 0;
     std::vector<Verb> verbs;
     std::vector<Customer> customers;
+    bool operator==(const Terms&) const = default;
 };
 
 struct Listed {
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -27,8 +27,15 @@
 
 int main() {
     std::signal(SIGPIPE, SIG_IGN);
+    // Held back until its handler is up: by itself it would end the program, and ignored, a file replaced
+    // after it was read would stay unread.
+    sigset_t hangUp;
+    sigemptyset(&hangUp);
+    sigaddset(&hangUp, SIGHUP);
+    sigprocmask(SIG_BLOCK, &hangUp, nullptr);
     try {
-        poppyscale::program::Program program(readConfiguration());
+        poppyscale::program::Program program(readConfiguration);
+        sigprocmask(SIG_UNBLOCK, &hangUp, nullptr);
         return program.run();
     } catch (const std::exception& problem) {
         std::cerr << "poppyscale: " << problem.what() << '\n';
--- a/src/program/program.cpp
+++ b/src/program/program.cpp
@@ -31,8 +31,8 @@
 
 }  // namespace
 
-Program::Program(protocol::Start start)
-    : start_(std::move(start)), pool_(start_.memory / 8 / transport::kBufferSize) {
+Program::Program(Read read)
+    : read_(std::move(read)), start_(read_()), pool_(start_.memory / 8 / transport::kBufferSize) {
     const auto log = [this](std::string_view text) { logger_.line(text); };
     // A descriptor more than the system gives would end in refused clients.
     rlimit files{};
@@ -56,25 +56,26 @@
     const std::string problem = clients_->listen(listen);
     if (!problem.empty())
         throw protocol::Malformed(fmt::format("can't listen on {}: {}", start_.listen, problem));
-    watchSignals();
 }
 
-Program::~Program() {
-    for (uv_signal_t* signal : {&terminate_, &interrupt_})
-        if (signal->data) uv_close(reinterpret_cast<uv_handle_t*>(signal), nullptr);
+void Program::leave() {
+    if (state_ == State::serving) enter(State::leaving);
 }
 
-void Program::watchSignals() {
-    for (const auto& [handle, number] : {std::pair{&terminate_, SIGTERM}, std::pair{&interrupt_, SIGINT}}) {
-        uv_signal_init(loop_.raw(), handle);
-        handle->data = this;
-        uv_signal_start(
-            handle,
-            [](uv_signal_t* s, int) {
-                auto* const program = static_cast<Program*>(s->data);
-                if (program->state_ == State::serving) program->enter(State::leaving);
-            },
-            number);
+void Program::reload() {
+    // While it leaves too: what it still owes goes by the list.
+    try {
+        protocol::Start fresh = read_();
+        const auto discovery = addressOf(fresh.discovery, "discovery");
+        fresh.terms.seed = start_.terms.seed;  // another one with each start
+        const bool more = fresh.listen != start_.listen || fresh.memory != start_.memory ||
+                          fresh.terms != start_.terms;
+        logger_.line(fmt::format("read its configuration anew, discovery at {}{}", fresh.discovery,
+                                 more ? "; other changes wait for the next start" : ""));
+        start_.discovery = fresh.discovery;
+        watch_->moveTo(discovery, fresh.discovery);
+    } catch (const std::exception& problem) {
+        logger_.line(fmt::format("goes on with the old configuration: {}", problem.what()));
     }
 }
 
--- a/src/program/program.hpp
+++ b/src/program/program.hpp
@@ -1,7 +1,9 @@
 // One router from start to exit.
 #pragma once
 
+#include <csignal>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -17,8 +19,8 @@
 
 class Program {
   public:
-    explicit Program(protocol::Start start);
-    ~Program();
+    using Read = std::function<protocol::Start()>;
+    explicit Program(Read read);
     // The exit code.
     int run();
 
@@ -29,20 +31,24 @@
 
     void enter(State state);
     void turn();
-    void watchSignals();
+    void leave();
+    // Reads the configuration anew; what is not usable changes nothing.
+    void reload();
 
     Logger logger_;
+    Read read_;
     protocol::Start start_;
     State state_ = State::starting;
     // The loop goes first: its handles close as it does, and give their buffers back.
-    uv_signal_t terminate_{};
-    uv_signal_t interrupt_{};
     transport::Pool pool_;
     transport::Loop loop_;
     std::optional<routing::Core> core_;
     std::optional<routing::Clients> clients_;
     std::optional<routing::Watch> watch_;
     std::optional<transport::Alarm> next_;
+    transport::Signal terminate_{loop_, SIGTERM, [this] { leave(); }};
+    transport::Signal interrupt_{loop_, SIGINT, [this] { leave(); }};
+    transport::Signal hangUp_{loop_, SIGHUP, [this] { reload(); }};
 };
 
 }  // namespace poppyscale::program
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -83,6 +83,9 @@
 
 void Core::listFailed() { events_.push_back({transport::Loop::now(), News{NewsKind::failed, {}}}); }
 
+// No changes, which is a success to the module: its pauses between tries begin short again.
+void Core::listMoved() { events_.push_back({transport::Loop::now(), News{NewsKind::changes, {}}}); }
+
 void Core::turn() {
     while (due_ || !events_.empty()) {
         due_ = false;
--- a/src/routing/core.hpp
+++ b/src/routing/core.hpp
@@ -57,6 +57,7 @@
 
     void listed(NewsKind kind, const protocol::Roster& roster);
     void listFailed();
+    void listMoved();  // what failed before was another discovery's
     std::function<void()> askForList;
 
     // Hands over what has been gathered, until nothing is left of it.
--- a/src/routing/watch.cpp
+++ b/src/routing/watch.cpp
@@ -8,6 +8,8 @@
 constexpr std::size_t kLongestList = 8 * 1024 * 1024;
 // Past the wait by more than this, whatever discovery had to tell counts as told.
 constexpr Nanos kGrace = 2'000 * kMillisecond;
+// A discovery that a cut-off machine hides never comes up; after a move it has seconds, not a watch's wait.
+constexpr Nanos kConnecting = 1'000 * kMillisecond;
 
 }  // namespace
 
@@ -28,11 +30,23 @@
     if (!calling_) call();
 }
 
+void Watch::moveTo(transport::Address at, std::string host) {
+    host_ = std::move(host);
+    if (!transport::sameAddress(at, at_)) {
+        at_ = at;
+        anew_ = true;
+        calling_ = false;
+        connection_.reset();
+        core_.listMoved();
+    }
+    want();
+}
+
 void Watch::call() {
     calling_ = true;
     answer_.clear();
-    limit_.set(transport::Loop::now() + wait_ + kGrace);
     if (connection_) return write();
+    limit_.set(transport::Loop::now() + kConnecting);
     transport::Connection::Owner& self = *this;
     connection_ = std::make_unique<transport::Connection>(loop_, pool_, self);
     if (!connection_->open(at_)) fail("can't connect");
@@ -45,8 +59,9 @@
 }
 
 void Watch::write() {
-    const auto call = fmt::format("GET /api/targets?after={}&wait_ms={} HTTP/1.1\r\nHost: {}\r\n\r\n",
-                                  version_, wait_ / kMillisecond, host_);
+    limit_.set(transport::Loop::now() + (anew_ ? 0 : wait_) + kGrace);
+    const auto after = anew_ ? "" : fmt::format("?after={}&wait_ms={}", version_, wait_ / kMillisecond);
+    const auto call = fmt::format("GET /api/targets{} HTTP/1.1\r\nHost: {}\r\n\r\n", after, host_);
     if (!connection_->write(call)) fail("the connection broke");
 }
 
@@ -69,6 +84,7 @@
     try {
         const auto roster = protocol::readRoster(answer_.body());
         version_ = roster.version;
+        anew_ = false;
         core_.listed(roster.full ? NewsKind::whole : NewsKind::changes, roster);
     } catch (const protocol::Malformed& problem) {
         return fail(problem.what());
--- a/src/routing/watch.hpp
+++ b/src/routing/watch.hpp
@@ -17,6 +17,9 @@
 
     // After a failure nothing is asked until this is called again: when to is the module's decision.
     void want();
+    // Discovery is to be had elsewhere. Asked at once and for all of its list: its versions may not be those
+    // that were counted before. Where it is already, a call that is out stays.
+    void moveTo(transport::Address at, std::string host);
 
   private:
     void opened(bool up) override;
@@ -37,6 +40,7 @@
     Nanos wait_;
     Log log_;
     bool calling_ = false;
+    bool anew_ = false;  // the whole list, and no waiting for a change
     protocol::HttpAnswer answer_;
     transport::Alarm limit_;
     std::unique_ptr<transport::Connection> connection_;
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -101,4 +101,17 @@
     at_ = 0;
 }
 
+Signal::Signal(Loop& loop, int number, std::function<void()> come)
+    : handle_(new uv_signal_t{}), come_(std::move(come)) {
+    uv_signal_init(loop.raw(), handle_);
+    handle_->data = this;
+    uv_signal_start(
+        handle_, [](uv_signal_t* s, int) { static_cast<Signal*>(s->data)->come_(); }, number);
+}
+
+Signal::~Signal() {
+    uv_close(reinterpret_cast<uv_handle_t*>(handle_),
+             [](uv_handle_t* h) { delete reinterpret_cast<uv_signal_t*>(h); });
+}
+
 }  // namespace poppyscale::transport
--- a/src/transport/loop.hpp
+++ b/src/transport/loop.hpp
@@ -69,4 +69,17 @@
     Nanos at_ = 0;
 };
 
+// A signal to the process, brought in a turn of the loop for as long as this lives.
+class Signal {
+  public:
+    Signal(Loop& loop, int number, std::function<void()> come);
+    ~Signal();
+    Signal(const Signal&) = delete;
+    Signal& operator=(const Signal&) = delete;
+
+  private:
+    uv_signal_t* handle_;
+    std::function<void()> come_;
+};
+
 }  // namespace poppyscale::transport
--- a/tests/helper.hpp
+++ b/tests/helper.hpp
@@ -137,6 +137,11 @@
     }
     Socket(Socket&& other) noexcept
         : descriptor_(std::exchange(other.descriptor_, -1)), in_(std::move(other.in_)) {}
+    Socket& operator=(Socket&& other) noexcept {
+        std::swap(descriptor_, other.descriptor_);
+        std::swap(in_, other.in_);
+        return ended_ = false, *this;
+    }
     ~Socket() { hangUp(); }
 
     bool open() const { return descriptor_ >= 0; }
@@ -294,6 +299,7 @@
             if (std::remove((folder_ + name).c_str()) != 0) break;
     }
     void signal(int number) const { kill(pid_, number); }
+    void configure(const std::string& text) const { std::ofstream(folder_ + "/config.json") << text; }
     bool running() const { return kill(pid_, 0) == 0 && waitpid(pid_, nullptr, WNOHANG) == 0; }
     // The exit code, or what killed it as a negative number.
     int exitCode() {
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -283,6 +283,52 @@
     serveOne(stage, client, "k");
 }
 
+TEST_CASE("SIGHUP: discovery is asked where the new configuration names it, a broken one changes nothing") {
+    auto start = smallStart();
+    Stage stage(2, start);
+    stage.startOf(start);
+    Socket old = stage.discovery.accept();
+    CHECK(begins(old.head().at(0), "GET /api/targets?after=7&wait_ms="));
+    Socket client = stage.client();
+    client.say(set("a", "c=pay,d=9000"));
+    Socket origin = stage.origin.accept();
+    origin.head();
+    for (const char* broken : {"", "{", "{\"discovery\":\"127.0.0.1:1\"}"}) {
+        stage.program.configure(broken);
+        stage.program.signal(SIGHUP);
+        usleep(50'000);
+    }
+    CHECK(old.quiet(100));
+    Door moved;
+    start["discovery"] = moved.address();
+    stage.program.configure(start.dump());
+    stage.program.signal(SIGHUP);
+    stage.program.signal(SIGHUP);
+    // At once, and for all of the list: that the old one answers no more is no failure to back off from.
+    Socket fresh = moved.accept();
+    CHECK(old.ended());
+    CHECK(fresh.head().at(0) == "GET /api/targets HTTP/1.1");
+    fresh.reset();
+    fresh = moved.accept();
+    CHECK(fresh.head().at(0) == "GET /api/targets HTTP/1.1");
+    auto list = nlohmann::json::parse(listOf(3, {entryOf("c1", stage.caches[1])}));
+    list["full"] = true;
+    fresh.say(http(200, list.dump()));
+    CHECK(begins(fresh.head().at(0), "GET /api/targets?after=3&wait_ms="));
+    CHECK(stage.discovery.quiet(50));
+    origin.say(http(200, "receipt"));
+    CHECK(client.answer() == "receipt");
+    for (const char* key : {"a", "b", "c", "d"}) client.say(get(key));
+    CHECK(stage.caches[1].accept().command().size() == 4);
+    CHECK(stage.caches[0].quiet(100));
+    stage.program.signal(SIGTERM);
+    stage.program.signal(SIGHUP);
+    client.hangUp();
+    CHECK(stage.program.exitCode() == 0);
+    const std::string log = stage.program.log();
+    CHECK(log.find("goes on with the old configuration") != std::string::npos);
+}
+
 TEST_CASE("told to stop, it takes what still comes, answers all of it and exits with 0") {
     Stage stage;
     Socket idle = stage.client();
