Wrong verbs, taken ids, silent and half-said clients are told at once

Checked: Core::take looked at bounds only; the module takes an unknown verb as effectful (logic.cpp, unknownVerb); Clients::admit closed any idle client first, so that silent newcomers pushed out the usual ones. Change: unknown verbs and ids that are open get -ERR before any bound is looked at; who says nothing or leaves a command half sent is told within 2.5 s; room is made by who lingers, then by who has said nothing, then by who has idled for 2 s; a connection is read for 32 KiB a turn and 64 KiB after a broken command; half-sent commands have a bound over all clients; a command counts 1 KiB beside its words.

--- a/src/program/program.cpp
+++ b/src/program/program.cpp
@@ -15,13 +15,13 @@
 constexpr Nanos kMostWait = 20'000 * kMillisecond;  // of a call to discovery
 constexpr Nanos kLeastWait = 1'000 * kMillisecond;
 constexpr std::size_t kOwnDescriptors = 32;          // standard streams, loop, signals, listener, discovery
-constexpr std::size_t kMemoryOfClient = 128 * 1024;  // a half-sent command and what its decoder holds
+constexpr std::size_t kMemoryOfClient = 8 * 1024;  // beside half-sent commands and answers, bounded elsewhere
 
 std::size_t mostLinks(const protocol::Start& start) { return start.descriptors * 2 / 5; }
 
 std::size_t mostClients(const protocol::Start& start) {
     const std::size_t left = start.descriptors - mostLinks(start) - kOwnDescriptors;
-    return std::max<std::size_t>(std::min(left, start.memory / 2 / kMemoryOfClient), 1);
+    return std::max<std::size_t>(std::min(left, start.memory / 8 / kMemoryOfClient), 1);
 }
 
 transport::Address addressOf(const std::string& text, const char* what) {
@@ -87,6 +87,7 @@
 }
 
 void Program::turn() {
+    clients_->turn();
     core_->turn();
     if (state_ == State::draining && clients_->closed()) enter(State::done);
 }
--- a/src/routing/clients.cpp
+++ b/src/routing/clients.cpp
@@ -8,6 +8,12 @@
 constexpr Nanos kLinger = 1'000 * kMillisecond;  // for the last answer to be read before the end
 constexpr std::size_t kMostInLine = 128;         // commands of one connection that wait for their answers
 constexpr std::size_t kMostUnsent = 256 * 1024;  // then no more of its commands are read
+constexpr std::size_t kMostInTurn = 32 * 1024;   // read of one connection
+constexpr std::size_t kMostIgnored = 64 * 1024;  // of what follows a broken command
+// In which a client sends a command that it has begun, or its first one: who says nothing may go unheard of.
+constexpr Nanos kWhole = 2'500 * kMillisecond;
+// Between two commands a client may count on its connection for as long as this.
+constexpr Nanos kKeptIdle = 2'000 * kMillisecond;
 constexpr protocol::Decoder::Bounds kBounds{64 * 1024, 16, 1, 80 * 1024, true};
 
 std::string wordsOf(const Final& final) {
@@ -31,10 +37,12 @@
     explicit Client(Clients& clients)
         : clients_(clients),
           connection_(clients.loop_, clients.pool_, *this),
-          patience_(clients.loop_, [this] { lookAgain(); }) {}
+          alarm_(clients.loop_, [this] { lookAgain(); }) {}
 
     ~Client() override {
         clients_.ready_ -= ready_;
+        clients_.half_ -= half_;
+        std::erase(clients_.rested_, this);
         for (auto& slot : line_)
             if (slot.command) clients_.core_.left(*slot.command);
     }
@@ -42,12 +50,18 @@
     transport::Connection& connection() { return connection_; }
     std::list<std::unique_ptr<Client>>::iterator place;
 
-    void start() { connection_.read(true); }
+    void start() {
+        heardAt_ = owesSince_ = transport::Loop::now();
+        flush();
+    }
     std::size_t holds() const { return ready_ + connection_.unsent(); }
-    bool owed() const { return !line_.empty() || connection_.unsent() > 0; }
-    bool idle() const { return !owed() && !decoder_.within() && !ending_; }
+    std::size_t half() const { return half_; }
     // What has come in but was not read yet would be lost with the connection.
     bool mayClose() const { return idle() && !connection_.bytesWait(); }
+    bool lingers() const { return lingers_ && connection_.unsent() == 0; }
+    bool hasSpoken() const { return spoke_; }
+    Nanos heardAt() const { return heardAt_; }
+    void goOn() { flush(); }
 
   private:
     // One command's place in the order of answers.
@@ -56,6 +70,7 @@
         void tell(Final final) override {
             command = nullptr;
             client.answer(*this, wordsOf(final));
+            client.heardAt_ = transport::Loop::now();
             client.flush();
         }
         Client& client;
@@ -64,9 +79,21 @@
         bool thenEnd = false;
     };
 
+    bool owed() const { return !line_.empty() || connection_.unsent() > 0; }
+    bool idle() const { return !owed() && !decoder_.within() && !ending_; }
+
     void received(std::string_view bytes) override {
+        if (ending_) {
+            // Read on only to see it go. One that sends on and on is left standing until the time is over.
+            if ((ignored_ += bytes.size()) > kMostIgnored) connection_.read(false);
+            return;
+        }
+        if (std::exchange(turn_, clients_.turn_) != clients_.turn_) readInTurn_ = 0;
+        readInTurn_ += bytes.size();
         clients_.clients_.splice(clients_.clients_.end(), clients_.clients_, place);
+        heardAt_ = transport::Loop::now();
         const Nanos at = clients_.loop_.arrivedBy();
+        if (!decoder_.within() && owesSince_ == 0) owesSince_ = heardAt_;
         while (!bytes.empty() && !ending_) {
             const auto state = decoder_.feed(bytes);
             if (state == protocol::Decoder::State::more) break;
@@ -74,20 +101,30 @@
                 reply("-ERR Protocol error: " + decoder_.problem() + "\r\n", true);
                 break;
             }
-            ++commands_;
-            auto said = protocol::readCommand(decoder_.take());
-            if (auto* aside = std::get_if<protocol::Aside>(&said)) {
-                reply(std::move(aside->answer), aside->thenClose);
-                continue;
-            }
-            Slot& slot = line_.emplace_back(*this);
-            slot.command = clients_.core_.take(slot, std::move(std::get<protocol::Command>(said)), at);
-            // Over the number that may be open; never sent, so that trying again is harmless.
-            if (!slot.command) answer(slot, "-BUSY\r\n");
+            spoke_ = true;
+            owesSince_ = heardAt_;
+            take(decoder_.take(), at);
         }
+        const std::size_t half = decoder_.within() && !ending_ ? decoder_.held() : 0;
+        clients_.half_ += half - half_;
+        half_ = half;
+        if (spoke_ && half_ == 0) owesSince_ = 0;
         flush();
     }
 
+    void take(protocol::Value words, Nanos at) {
+        auto said = protocol::readCommand(std::move(words));
+        if (auto* aside = std::get_if<protocol::Aside>(&said))
+            return reply(std::move(aside->answer), aside->thenClose);
+        Slot& slot = line_.emplace_back(*this);
+        const auto taken = clients_.core_.take(slot, std::move(std::get<protocol::Command>(said)), at);
+        slot.command = taken.command;
+        // Over what may be held it was never sent, so that trying again is harmless; with a command that can't
+        // be right it would be as wrong the next time.
+        if (!taken.command)
+            answer(slot, taken.wrong.empty() ? "-BUSY\r\n" : "-ERR " + std::string(taken.wrong) + "\r\n");
+    }
+
     void reply(std::string text, bool thenEnd) {
         Slot& slot = line_.emplace_back(*this);
         answer(slot, std::move(text));
@@ -120,63 +157,119 @@
         if (end) {
             // Closed at once, unread bytes would reset the connection under the last answer.
             connection_.finishSending();
-            return patience_.set(transport::Loop::now() + kLinger);
+            lingers_ = true;
+            connection_.read(true);
+            return alarm_.set(transport::Loop::now() + kLinger);
         }
-        if (ending_ && line_.empty()) return;
+        if (lingers_) return;
         if (clients_.closing_ && mayClose()) return clients_.drop(*this);
-        connection_.read(line_.size() < kMostInLine && connection_.unsent() < kMostUnsent);
-        if (!waitsForClient())
-            patience_.clear();
-        else if (!patience_.isSet())
-            beginWait();
+        listen();
+        watchOver();
     }
 
-    // A half-sent command, or answers that are not read.
-    bool waitsForClient() const { return decoder_.within() || connection_.unsent() > 0; }
-    std::uint64_t progress() const { return commands_ + connection_.sent(); }
-    void beginWait() {
-        before_ = progress();
-        patience_.set(transport::Loop::now() + clients_.patience_);
+    void listen() {
+        const bool wanted = !ending_ && line_.size() < kMostInLine && connection_.unsent() < kMostUnsent;
+        // That it was not read is not the client's delay.
+        if (wanted && !listens_ && owesSince_) owesSince_ = transport::Loop::now();
+        listens_ = wanted;
+        // A part for each in a turn: whoever sends at full speed would else keep the others waiting.
+        const bool rests = wanted && turn_ == clients_.turn_ && readInTurn_ >= kMostInTurn;
+        if (rests) clients_.rested_.push_back(this);
+        connection_.read(wanted && !rests);
+    }
+
+    // Until when the client has to have done its part: sent the whole of a command that it has begun, its first
+    // one since it connected, or read some of its answers.
+    void watchOver() {
+        const bool unread = connection_.unsent() > 0;
+        if (!unread || std::exchange(sentBefore_, connection_.sent()) != connection_.sent())
+            unreadSince_ = transport::Loop::now();
+        if (owesSince_ && listens_)
+            alarm_.set(owesSince_ + kWhole);
+        else if (unread)
+            alarm_.set(unreadSince_ + clients_.patience_);
+        else
+            alarm_.clear();
+    }
+
+    void lookAgain() {
+        if (lingers_) return clients_.drop(*this);
+        if (!owesSince_ || !listens_) {
+            // Slow is no reason while something moves.
+            if (connection_.unsent() > 0 && connection_.sent() != sentBefore_) return watchOver();
+            return clients_.drop(*this);
+        }
+        if (!decoder_.within()) return clients_.drop(*this);
+        reply("-ERR Protocol error: command not whole in time\r\n", true);
+        flush();
     }
-    // One that is slow, or always has the next command half sent, is let be as long as something moves.
-    void lookAgain() { ending_ || progress() == before_ ? clients_.drop(*this) : beginWait(); }
 
     Clients& clients_;
     transport::Connection connection_;
-    transport::Alarm patience_;
+    transport::Alarm alarm_;
     protocol::Decoder decoder_{kBounds};
     std::list<Slot> line_;
     std::size_t ready_ = 0;  // bytes of answers that stand behind one still to come
+    std::size_t half_ = 0;   // bytes of a command that is not whole yet
+    std::size_t readInTurn_ = 0;
+    std::size_t ignored_ = 0;
+    std::uint64_t turn_ = 0;  // the one that the bytes above were read in
     bool ending_ = false;    // nothing more is read of it
-    std::uint64_t commands_ = 0;
-    std::uint64_t before_ = 0;  // the progress when the wait for the client began
+    bool lingers_ = false;   // told all, until it has read that
+    bool listens_ = false;
+    bool spoke_ = false;
+    Nanos heardAt_ = 0;    // when it last sent something or got an answer
+    Nanos owesSince_ = 0;  // when the command began that is not whole yet
+    Nanos unreadSince_ = 0;
+    std::uint64_t sentBefore_ = 0;  // bytes, when the wait for it to read began
 };
 
 Clients::Clients(transport::Loop& loop, transport::Pool& pool, Core& core, std::size_t most,
-                 std::size_t mostReady, Nanos patience)
+                 std::size_t mostHeld, Nanos patience)
     : loop_(loop),
       pool_(pool),
       core_(core),
       most_(most),
-      mostReady_(mostReady),
+      mostHeld_(mostHeld),
       patience_(patience),
       listener_(std::make_unique<transport::Listener>(loop, [this](const auto& finish) { admit(finish); })) {}
 
 Clients::~Clients() = default;
 
 void Clients::admit(const std::function<bool(transport::Connection&)>& finish) {
-    if (clients_.size() >= most_) {
-        const auto idle =
-            std::find_if(clients_.begin(), clients_.end(), [](auto& c) { return c->mayClose(); });
-        if (idle != clients_.end()) clients_.erase(idle);
-    }
+    const bool room = makeRoom();
     auto made = std::make_unique<Client>(*this);
-    if (!finish(made->connection()) || clients_.size() >= most_) return;
+    if (!finish(made->connection()) || !room) return;
     Client& client = *clients_.emplace_back(std::move(made));
     client.place = std::prev(clients_.end());
     client.start();
 }
 
+// First who is only let read its last answer, then who has not said anything yet, oldest first, so that a crowd
+// that says nothing makes room for itself; then who has, and hasn't lately.
+bool Clients::makeRoom() {
+    if (clients_.size() < most_) return true;
+    const Nanos since = transport::Loop::now() - kKeptIdle;
+    auto gone = std::find_if(clients_.begin(), clients_.end(), [](auto& c) { return c->lingers(); });
+    for (const bool spoken : {false, true})
+        if (gone == clients_.end())
+            gone = std::find_if(clients_.begin(), clients_.end(), [&](auto& c) {
+                return c->hasSpoken() == spoken && (!spoken || c->heardAt() <= since) && c->mayClose();
+            });
+    if (gone == clients_.end()) return false;
+    clients_.erase(gone);
+    return true;
+}
+
+void Clients::turn() {
+    ++turn_;
+    while (!rested_.empty()) {
+        Client* const client = rested_.back();
+        rested_.pop_back();
+        client->goOn();
+    }
+}
+
 void Clients::close() {
     if (closing_) return;
     if (listener_) listener_->takeBacklog();
@@ -186,13 +279,17 @@
         (*it)->mayClose() ? it = clients_.erase(it) : ++it;
 }
 
-// Who doesn't read, or has many answers stand behind one that doesn't come, fills the machine. Who holds most
-// goes, and a quarter of the buffers is left for writing to the caches.
+// Who doesn't read, has many answers stand behind one that doesn't come, or begins commands and leaves them,
+// fills the machine. Who holds most goes, or who has held a begun one longest; a quarter of the buffers is left
+// for writing to the caches.
 bool Clients::relieve(const Client& writing) {
-    while (pool_.left() < pool_.most() / 4 || ready_ > mostReady_) {
-        const auto most = std::max_element(clients_.begin(), clients_.end(),
-                                           [](auto& a, auto& b) { return a->holds() < b->holds(); });
-        if (most == clients_.end() || (*most)->holds() == 0) return true;
+    while (pool_.left() < pool_.most() / 4 || ready_ > mostHeld_ || half_ > mostHeld_) {
+        const auto most = half_ > mostHeld_
+                              ? std::find_if(clients_.begin(), clients_.end(), [](auto& c) { return c->half() > 0; })
+                              : std::max_element(clients_.begin(), clients_.end(), [](auto& a, auto& b) {
+                                    return a->holds() < b->holds();
+                                });
+        if (most == clients_.end() || (*most)->holds() + (*most)->half() == 0) return true;
         const bool itself = most->get() == &writing;
         clients_.erase(most);
         if (itself) return false;
--- a/src/routing/clients.hpp
+++ b/src/routing/clients.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "protocol/resp.hpp"
 #include "routing/core.hpp"
@@ -16,7 +17,7 @@
 
 class Clients {
   public:
-    Clients(transport::Loop& loop, transport::Pool& pool, Core& core, std::size_t most, std::size_t mostReady,
+    Clients(transport::Loop& loop, transport::Pool& pool, Core& core, std::size_t most, std::size_t mostHeld,
             Nanos patience);
     ~Clients();
 
@@ -25,11 +26,14 @@
     void close();
     bool closed() const { return closing_ && clients_.empty(); }
     std::size_t count() const { return clients_.size(); }
+    // Those that have had their part of the last turn are read again.
+    void turn();
 
   private:
     friend class Client;
     void admit(const std::function<bool(transport::Connection&)>& finish);
     void drop(Client& client);  // which is gone after this
+    bool makeRoom();
     // False when `writing` itself had to go.
     bool relieve(const Client& writing);
 
@@ -37,12 +41,15 @@
     transport::Pool& pool_;
     Core& core_;
     std::size_t most_;
-    std::size_t mostReady_;
-    Nanos patience_;         // with a client that neither sends nor reads what it should
+    std::size_t mostHeld_;   // of each of the two below
+    Nanos patience_;         // with a client that doesn't read its answers
     std::size_t ready_ = 0;  // bytes of answers that can't go out yet, over all clients
+    std::size_t half_ = 0;   // bytes of commands that are not whole yet
     bool closing_ = false;
     std::unique_ptr<transport::Listener> listener_;
     std::list<std::unique_ptr<Client>> clients_;  // the one heard of longest ago comes first
+    std::vector<Client*> rested_;                 // not read until the next turn
+    std::uint64_t turn_ = 1;
 };
 
 }  // namespace poppyscale::routing
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <unordered_set>
 
 namespace poppyscale::routing {
 namespace {
@@ -16,8 +15,11 @@
     return transport::Loop::now() - wall.count();
 }
 
+// What a command costs beside its words, here and in the module: of short ones it is the most.
+constexpr std::size_t kMemoryOfCommand = 1024;
+
 std::size_t heldBy(const protocol::Command& said) {
-    return said.key.size() + said.id.size() + said.info.size() + said.value.size();
+    return kMemoryOfCommand + said.key.size() + said.id.size() + said.info.size() + said.value.size();
 }
 
 }  // namespace
@@ -36,11 +38,16 @@
       aside_(start.terms.aside),
       wakeUp_(loop, [this] { due_ = true; }),
       router_(start.terms, *this, transport::Loop::now()) {
+    for (const Verb& verb : start.terms.verbs) verbs_.insert(verb.name);
     listed(NewsKind::cached, start.known);
 }
 
-Command* Core::take(Asker& asker, protocol::Command said, Nanos now) {
-    if (commands_.size() >= mostOpen_ || held_ >= mostHeld_) return nullptr;
+Core::Taken Core::take(Asker& asker, protocol::Command said, Nanos now) {
+    // Of an unknown verb nobody can say whether it may be repeated, nor by when it is to be answered.
+    if (!verbs_.contains(said.verb)) return {nullptr, "unknown verb"};
+    // Caches and origin tell commands apart by their ids: under one id, one could get what is another's.
+    if (ids_.contains(said.id)) return {nullptr, "id of an open command"};
+    if (commands_.size() >= mostOpen_ || held_ >= mostHeld_) return {};
     auto made = std::make_unique<Command>();
     Command& command = *made;
     command.id = ++lastId_;
@@ -48,9 +55,10 @@
     command.giveUpAt = now + said.patience;
     command.said = std::move(said);
     held_ += heldBy(command.said);
+    ids_.insert(command.said.id);
     commands_.emplace(command.id, std::move(made));
     events_.push_back({now, Arrived{&command}});
-    return &command;
+    return {&command, {}};
 }
 
 void Core::left(Command& command) {
@@ -172,6 +180,7 @@
     const auto it = commands_.find(id);
     if (it == commands_.end()) return;
     held_ -= heldBy(it->second->said);
+    ids_.erase(it->second->said.id);
     commands_.erase(it);
 }
 
--- a/src/routing/core.hpp
+++ b/src/routing/core.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -50,8 +51,13 @@
     Core(transport::Loop& loop, transport::Pool& pool, const protocol::Start& start, std::size_t mostLinks,
          Log log);
 
-    // Null when the router holds as many as it may; the asker has not been told anything then.
-    Command* take(Asker& asker, protocol::Command said, Nanos now);
+    // Without a command, the asker is to be told: what is wrong with it, or else that the router holds as many
+    // as it may.
+    struct Taken {
+        Command* command = nullptr;
+        std::string_view wrong;
+    };
+    Taken take(Asker& asker, protocol::Command said, Nanos now);
     void left(Command& command);
     std::size_t open() const { return commands_.size(); }
 
@@ -116,7 +122,9 @@
     bool due_ = true;
     bool subscribe_ = false;
     CommandId lastId_ = 0;
+    std::unordered_set<std::string> verbs_;
     std::unordered_map<CommandId, std::unique_ptr<Command>> commands_;
+    std::unordered_set<std::string_view> ids_;  // that clients gave the commands
     std::unordered_map<std::string, std::unique_ptr<Upstream>> upstreams_;
     std::vector<Event> events_;
     std::vector<Action> actions_;
--- a/tests/helper.hpp
+++ b/tests/helper.hpp
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -205,6 +206,10 @@
         }
         return ended_;
     }
+    std::size_t waits() const {
+        int count = 0;
+        return ioctl(descriptor_, FIONREAD, &count) == 0 ? static_cast<std::size_t>(count) : 0;
+    }
     bool quiet(int within) const { return in_.empty() && !readable(descriptor_, within); }
 
   private:
@@ -353,10 +358,10 @@
     return text;
 }
 inline std::string get(const std::string& key, const std::string& info = "c=read,t=north,d=1500") {
-    return array({"OBJ.GET", key, "9b1f03aa5c7e2d41", info});
+    return array({"OBJ.GET", key, "9b1f-" + key, info});
 }
 inline std::string set(const std::string& key, const std::string& info, const std::string& value = "V") {
-    return array({"OBJ.SET", key, "9b1f03aa5c7e2d41", info, value});
+    return array({"OBJ.SET", key, "9b1f-" + key, info, value});
 }
 inline std::string hit(const std::string& value) {
     return "*3\r\n$" + std::to_string(value.size()) + "\r\n" + value + "\r\n$3\r\nhit\r\n$-1\r\n";
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -75,9 +75,9 @@
 TEST_CASE("what goes on to a cache is unchanged but for how long the router waits") {
     const Command command = commandOf(test::set("k", "c=mark,t=north,d=480,k=5c,size=9"));
     CHECK(cacheCommand(command, 120 * test::ms) ==
-          test::array({"OBJ.SET", "k", "9b1f03aa5c7e2d41", "c=mark,t=north,d=120,k=5c,size=9", "V"}));
+          test::array({"OBJ.SET", "k", "9b1f-k", "c=mark,t=north,d=120,k=5c,size=9", "V"}));
     CHECK(originCall(command, "h") ==
-          "PUT /k HTTP/1.1\r\nHost: h\r\nX-Call-Id: 9b1f03aa5c7e2d41\r\n"
+          "PUT /k HTTP/1.1\r\nHost: h\r\nX-Call-Id: 9b1f-k\r\n"
           "X-Call-Info: c=mark,t=north,d=480,k=5c,size=9\r\nContent-Length: 1\r\n\r\nV");
 }
 
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -49,7 +49,7 @@
     REQUIRE(words.size() == 4);
     CHECK(words[0] == "OBJ.GET");
     CHECK(words[1] == "k");
-    CHECK(words[2] == "9b1f03aa5c7e2d41");
+    CHECK(words[2] == "9b1f-k");
     CHECK(begins(words[3], "c=read,t=north,d=1"));
     CHECK(words[3].ends_with(",size=9"));
     // In pieces, as a network may bring it.
@@ -74,7 +74,7 @@
     const auto head = origin.head();
     REQUIRE(head.size() == 4);
     CHECK(head[0] == "GET /k HTTP/1.1");
-    CHECK(head[2] == "X-Call-Id: 9b1f03aa5c7e2d41");
+    CHECK(head[2] == "X-Call-Id: 9b1f-k");
     CHECK(head[3] == "X-Call-Info: c=read,t=north,d=1500");
     origin.say(http(200, "fetched"));
     CHECK(client.answer() == "fetched");
@@ -388,19 +388,64 @@
     CHECK(client.answer() == "v");
 }
 
-TEST_CASE("more clients than descriptors: the one that idles longest makes room") {
+TEST_CASE("more clients than descriptors: silent ones make room, of the others who idles longest and long") {
     auto start = smallStart();
     start["limits"]["sockets"] = 64;
     Stage stage(1, start);
-    Socket first = stage.client();
-    CHECK(first.say(array({"PING"})).answer() == "+PONG");
-    std::vector<Socket> others;
-    for (int i = 0; i < 40; ++i) {
-        others.push_back(stage.client());
-        REQUIRE(others.back().say(array({"PING"})).answer() == "+PONG");
+    std::vector<Socket> usual;
+    for (int i = 0; i < 3; ++i) {
+        usual.push_back(stage.client());
+        CHECK(usual.back().say(array({"PING"})).answer() == "+PONG");
+        usleep(100'000);
     }
-    CHECK(first.ended());
-    serveOne(stage, others.back(), "k");
+    std::vector<Socket> silent;
+    for (int i = 0; i < 60; ++i) silent.push_back(stage.client());
+    for (int i = 0; i < 4; ++i) {
+        usual.push_back(stage.client());
+        CHECK(usual.back().say(array({"PING"})).answer() == "+PONG");
+    }
+    CHECK(silent.front().ended());
+    CHECK(usual[0].quiet(0));
+    // All places are with clients that have spoken just now: those keep them.
+    CHECK(stage.client().say(array({"PING"})).answer().empty());
+    usleep(2'000'000);
+    Socket late = stage.client();
+    CHECK(late.say(array({"PING"})).answer() == "+PONG");
+    CHECK(usual[0].ended());
+    CHECK(usual[1].quiet(0));
+    serveOne(stage, late, "k");
+}
+
+TEST_CASE("a verb that nobody knows and an id that is still open are errors at once and go nowhere") {
+    Stage stage;
+    Socket client = stage.client(), other = stage.client();
+    client.say(get("a"));
+    Socket cache = stage.caches[0].accept();
+    cache.command();
+    CHECK(begins(other.say(get("a")).answer(), "-ERR"));
+    CHECK(begins(other.say(get("b", "c=nothing,d=900")).answer(), "-ERR"));
+    CHECK(begins(other.say(set("b", "c=nothing,d=900")).answer(), "-ERR"));
+    CHECK(stage.caches[0].quiet(50));
+    CHECK(stage.origin.quiet(50));
+    cache.say(hit("va"));
+    CHECK(client.answer() == "va");
+    other.say(get("a"));
+    CHECK(cache.command().size() == 4);
+}
+
+TEST_CASE("who sends at full speed gets its part of a turn, and another is answered between") {
+    Stage stage;
+    Socket loud = stage.client(), quiet = stage.client();
+    for (Socket* client : {&loud, &quiet}) CHECK(client->say(array({"PING"})).answer() == "+PONG");
+    stage.program.signal(SIGSTOP);
+    std::string many;
+    while (many.size() < 512 * 1024) many += array({"PING"});
+    while (loud.cram(many) > 0) {
+    }
+    quiet.say(array({"PING"}));
+    stage.program.signal(SIGCONT);
+    CHECK(quiet.answer() == "+PONG");
+    CHECK(loud.waits() < 200 * 1024);
 }
 
 TEST_CASE("a connection is closed well before the cache would close it") {
@@ -414,21 +459,25 @@
     serveOne(stage, client, "b");
 }
 
-TEST_CASE("a command left half sent ends the connection, a next one always half sent does not") {
-    auto start = smallStart();
-    start["settings"]["allowed"]["connIdleUs"] = 400'000;
-    Stage stage(1, start);
-    Socket stuck = stage.client();
-    stuck.say(get("k").substr(0, 10));
-    Socket busy = stage.client();
+TEST_CASE("who says nothing or half a command is told so within 3 s, a next one always half sent is not") {
+    Stage stage;
     const std::string ping = array({"PING"});
+    Socket kept = stage.client();
+    CHECK(kept.say(ping).answer() == "+PONG");
+    const auto began = std::chrono::steady_clock::now();
+    Socket silent = stage.client(), stuck = stage.client(), busy = stage.client();
+    stuck.say(get("k").substr(0, 10));
     busy.say(ping.substr(0, 5));
-    for (int i = 0; i < 8; ++i) {
+    for (int i = 0; i < 10; ++i) {
         usleep(250'000);
         busy.say(ping.substr(5) + ping.substr(0, 5));
         CHECK(busy.answer() == "+PONG");
     }
+    CHECK(silent.ended());
+    CHECK(begins(stuck.answer(), "-ERR Protocol error"));
     CHECK(stuck.ended());
+    CHECK(std::chrono::steady_clock::now() - began < std::chrono::milliseconds(3'000));
+    CHECK(kept.quiet(0));
 }
 
 TEST_CASE("mutated bytes from clients, caches and the origin leave the router serving") {
