A relay whose answer is lost is given up in time for another; gone caches are forgotten

Checked with a probe that logged the windows twice a second: one relay of ten to most caches ends in a time-out at the client's time (640 ms at answers of 53 ms), the window over all caches stands at 25 to 30 and is full, ten commands wait, no window of a single cache is. Lines at fault: relayUntil (logic.cpp) allowed an early time-out only where another cache could make the goal, which at a goal of three usual answers and six of patience is never. Change: four usual answers, and until the time at which a late answer is worth nothing, which the settings tell by verb.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -71,8 +71,7 @@
     Nanos at_ = 0;
 };
 
-// One Bloom filter of counters, for as many keys as its size is meant for.
-struct Counters {
+struct Counters {  // one Bloom filter, for as many keys as its size is meant for
     explicit Counters(std::size_t size) : counts(size, 0) {}
 
     template <class Visit>
@@ -133,8 +132,7 @@
     Generation previous_;
 };
 
-// How many relays may be out, learnt from how answers fare against their goals.
-struct Window {
+struct Window {  // how many relays may be out, learnt from how answers fare against their goals
     // Beyond its share a customer leaves a quarter free: what is within share would else find it full.
     bool open(Nanos now, bool beyondShare) const {
         if (beyondShare) return out + 1 <= size * 0.75 && now >= nextAt;
@@ -164,8 +162,7 @@
         usual = usual == 0 ? part : std::max(0.01, usual * (part > usual ? 1 + step : 1 - step));
         if (++seen == kFewAnswers) idle = usual;
         idle = std::min(idle * 1.0002, usual);
-        // At the origin all routers queue together: the fewer a router has there the more it bears, or those
-        // that know of a longer idle time would starve the rest.
+        // At the origin all routers queue together: small windows bear more there, or large ones starve them.
         const double wanted = std::clamp(2 * idle, least, kLatenessMost) + shared / std::max(size, 0.5);
         // Both medians: the quick one alone wanders over the line where hits and misses mix.
         if (lateness > wanted && usual > 0.6 * wanted)
@@ -189,7 +186,7 @@
     Nanos learntAt = 0;
 };
 
-struct Cache {
+struct Cache : std::enable_shared_from_this<Cache> {
     explicit Cache(const std::string& name) : name(name), hash(hashOf(name)) {}
 
     std::string name;
@@ -200,6 +197,7 @@
     Nanos cameUp = 0;
     double size = 1;
     bool origin = false;
+    bool wasGone = false;  // when the generations last changed
 
     Filter filter;
     Window window{kLatenessWanted};
@@ -220,7 +218,7 @@
 enum class Standing : std::uint8_t { out, neverRan, mayHaveRun };
 
 struct Relay {
-    Cache* to;
+    std::shared_ptr<Cache> to;
     Nanos sentAt;
     Standing standing;
 };
@@ -253,7 +251,7 @@
     Nanos goalAt = 0;
     Nanos giveUpAt = 0;
     std::vector<Relay> relays;
-    std::vector<Cache*> lacking;
+    std::vector<std::shared_ptr<Cache>> lacking;
     std::array<Cache*, kMostCandidates> candidates{};  // as many as are usable, in rendezvous order
     std::uint64_t candidatesOf = 0;                    // the fleet's state that they were worked out for
 };
@@ -266,8 +264,7 @@
         std::seed_seq seed{static_cast<unsigned>(terms.seed), static_cast<unsigned>(terms.seed >> 32)};
         chance.seed(seed);
         for (const Customer& c : terms.customers) usages.push_back(std::make_unique<Usage>(Usage{&c}));
-        // Spread: routers restarted together would otherwise ask discovery in the same moment, and it doesn't
-        // grow with them.
+        // Spread: discovery doesn't grow with the routers, and all may have been restarted together.
         const Nanos width = std::min(terms.askWithin / 2, terms.routers * 10 * kMillisecond);
         askAt = terms.listOnRequest ? now + spread(width) : kNever;
     }
@@ -312,8 +309,8 @@
         return inGroup && now - mayHaveRun->sentAt < cmd.verb->remembered;
     }
 
-    // What the choice of candidates reads of the fleet, side by side and worked out once for each state of
-    // it: going through every cache for every command cost more than all else at a hundred caches.
+    // Worked out once for each state of the fleet: at a hundred caches, once for each command cost most of
+    // all.
     void survey(Nanos now) {
         surveyed = fleetState;
         ranked.clear();
@@ -375,7 +372,7 @@
         // times all routers: two further relays a cache fed a storm of relays turned away as full.
         if (cmd.ranBefore && c.credit < draw()) return false;
         for (const Relay& r : cmd.relays)
-            if (cmd.failedBefore && r.to == &c && !c.origin) return false;
+            if (cmd.failedBefore && r.to.get() == &c && !c.origin) return false;
         return coldBudgetLeft(c, now);
     }
 
@@ -447,11 +444,12 @@
         if (to.origin || cmd.verb->effect != Effect::pure || !cmd.relays.empty()) return cmd.giveUpAt;
         // Just started, nothing is known of what answers take: a guess would set slow machines aside at once.
         if (whole.seen < kFewAnswers) return cmd.giveUpAt;
-        // Long against what answers take, and early enough that another cache can still make the goal. When
-        // all answers are slow no such moment exists, so that a slow fleet isn't asked everything twice.
+        // Long against what answers take, and early enough that another's is still worth something: when all
+        // answers are slow no such moment exists, so that a slow fleet isn't asked everything twice.
         const Nanos usual = typical(now);
-        const Nanos until = now + std::max(6 * usual, cmd.verb->goal / 2);
-        return until + usual < std::min(cmd.goalAt, cmd.giveUpAt) ? until : cmd.giveUpAt;
+        const Nanos until = now + std::max(4 * usual, cmd.verb->goal / 2);
+        const Nanos worthless = cmd.verb->lateUtility > 0 ? cmd.giveUpAt : std::min(cmd.goalAt, cmd.giveUpAt);
+        return until + usual < worthless ? until : cmd.giveUpAt;
     }
 
     void send(Command& cmd, Cache& to, Nanos now) {
@@ -462,7 +460,7 @@
         if (terms.aside && cmd.write)
             for (Cache* c : fleet) c->filter.clear(cmd.key);
         host.relay(cmd.id, to.name, relayUntil(cmd, to, now));
-        cmd.relays.push_back({&to, now, Standing::out});
+        cmd.relays.push_back({to.shared_from_this(), now, Standing::out});
         if (to.window.out++ == 0) to.heardAt = now;
         if (!to.origin) ++whole.out;
         to.due -= 1;
@@ -573,7 +571,7 @@
         const bool answered = ending == Ending::answered;
         if (!from.origin) {
             if (ending == Ending::noneHere) {
-                cmd.lacking.push_back(&from);
+                cmd.lacking.push_back(from.shared_from_this());
                 from.filter.clear(cmd.key);
             } else if (answered && cmd.keyed && !(terms.aside && cmd.write)) {
                 from.filter.enter(cmd.key);
@@ -582,14 +580,13 @@
         }
         if (auto it = fetches.find(cmd.key); it != fetches.end() && it->second == &cmd) fetches.erase(it);
         const bool stored = answered && !cmd.write && cmd.keyed;
-        for (Cache* c : cmd.lacking) stored ? c->filter.enter(cmd.key) : c->filter.clear(cmd.key);
+        for (const auto& c : cmd.lacking) stored ? c->filter.enter(cmd.key) : c->filter.clear(cmd.key);
     }
 
     void settle(Nanos now) {
         refresh(now);
         if (waiting.size() > 1) {
-            // What a cache holds takes it half the time of what it must fetch or have fetched: in a jam, the
-            // same places answer twice as many hinted commands.
+            // What a cache holds takes half the time of a miss: in a jam a place answers twice as many.
             for (Command* cmd : waiting)
                 cmd->rank = cmd->verb->utility * (cmd->write || hintedSomewhere(*cmd, now) ? 2 : 1);
             std::stable_sort(waiting.begin(), waiting.end(), [](const Command* a, const Command* b) {
@@ -638,8 +635,15 @@
             host.subscribe();
             askAt = kNever;
         }
-        for (; now >= swapAt; swapAt += kGeneration)
+        for (; now >= swapAt; swapAt += kGeneration) {
+            // Gone at the last time too: ever new caches may not fill the machine. Commands keep theirs.
+            for (auto* list : {&fleet, &origins})
+                std::erase_if(*list, [&](Cache* c) {
+                    const bool before = std::exchange(c->wasGone, c->presence == Presence::gone);
+                    return before && c->wasGone && known.erase(std::string(c->name)) > 0;
+                });
             for (Cache* c : fleet) c->filter.swap();
+        }
         // The mean: where a fifth of the caches hang or are jammed by their keys, no median tells of it.
         const double bearable = std::max(kLatenessWanted, whole.seen < kFewAnswers ? 0 : 2 * whole.idle);
         pressed = latenessAll.read(now) > bearable * std::max(heardAll.read(now), 1.0);
@@ -660,7 +664,7 @@
         for (const Listed& e : entries) {
             auto& slot = known[e.name];
             if (!slot) {
-                slot = std::make_unique<Cache>(e.name);
+                slot = std::make_shared<Cache>(e.name);
                 slot->origin = terms.aside && e.shape == terms.originShape;
                 slot->credit = kOpening / terms.routers;
                 if (slot->origin) slot->window.least = slot->window.shared = kOriginLateness;
@@ -714,8 +718,7 @@
         relay.standing = end.ending >= Ending::noRoom ? Standing::neverRan : Standing::mayHaveRun;
         Cache& from = *relay.to;
         --from.window.out;
-        // Where answers on a connection come in order, one heavy command lets the rest go in its own moment:
-        // their times tell of it, not of a queue at the cache.
+        // Answers on a connection may come in order: what a heavy one lets go tells of it, not of a queue.
         const bool behindAnother = from.endedAt == now;
         from.endedAt = from.heardAt = now;
         if (!from.origin) --whole.out;
@@ -738,16 +741,14 @@
     Terms terms;
     Host& host;
     std::mt19937 chance;
-    std::unordered_map<std::string, std::unique_ptr<Cache>> known;
-    std::vector<Cache*> fleet;  // in the order they were first heard of
-    std::vector<Cache*> origins;
+    std::unordered_map<std::string, std::shared_ptr<Cache>> known;
+    std::vector<Cache*> fleet, origins;  // in the order they were first heard of
     std::vector<std::unique_ptr<Usage>> usages;
     std::unordered_map<CommandId, std::unique_ptr<Command>> commands;
     std::unordered_map<std::uint64_t, Command*> fetches;
     std::vector<Command*> waiting;
     Verb unknownVerb;
-    Decaying answers{kMemory};
-    Decaying answerTime{kMemory};
+    Decaying answers{kMemory}, answerTime{kMemory};
     std::uint64_t fleetState = 1;
     Window whole{kLatenessWanted, 0, 1};  // over all caches
     std::vector<Ranked> ranked;           // those that may be candidates
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -39,6 +39,7 @@
     Nanos remembered = 0;      // and for how long after the first relay that may have run
     Nanos goal = 0;
     double utility = 1;
+    double lateUtility = 0;  // the part of it that an answer after the goal still has
     bool operator==(const Verb&) const = default;
 };
 
--- a/src/program/program.cpp
+++ b/src/program/program.cpp
@@ -14,7 +14,7 @@
 constexpr Nanos kLastAnswers = 200 * kMillisecond;
 constexpr Nanos kMostWait = 20'000 * kMillisecond;  // of a call to discovery
 constexpr Nanos kLeastWait = 1'000 * kMillisecond;
-constexpr std::size_t kOwnDescriptors = 32;          // standard streams, loop, signals, listener, discovery
+constexpr std::size_t kOwnDescriptors = 32;        // standard streams, loop, signals, listener, discovery
 constexpr std::size_t kMemoryOfClient = 8 * 1024;  // beside half-sent commands and answers, bounded elsewhere
 
 std::size_t mostLinks(const protocol::Start& start) { return start.descriptors * 2 / 5; }
@@ -69,8 +69,8 @@
         protocol::Start fresh = read_();
         const auto discovery = addressOf(fresh.discovery, "discovery");
         fresh.terms.seed = start_.terms.seed;  // another one with each start
-        const bool more = fresh.listen != start_.listen || fresh.memory != start_.memory ||
-                          fresh.terms != start_.terms;
+        const bool more =
+            fresh.listen != start_.listen || fresh.memory != start_.memory || fresh.terms != start_.terms;
         logger_.line(fmt::format("read its configuration anew, discovery at {}{}", fresh.discovery,
                                  more ? "; other changes wait for the next start" : ""));
         start_.discovery = fresh.discovery;
--- a/src/protocol/terms.cpp
+++ b/src/protocol/terms.cpp
@@ -94,6 +94,7 @@
         }
         verb.goal = paths.time(at + "responseGoalUs");
         verb.utility = paths.real(at + "utility");
+        if (paths.has(at + "lateUtility")) verb.lateUtility = paths.real(at + "lateUtility");
         terms.verbs.push_back(std::move(verb));
     }
     const auto customers = paths.has("orgs.count") ? paths.whole("orgs.count", 10'000) : 0;
--- a/src/routing/clients.cpp
+++ b/src/routing/clients.cpp
@@ -119,8 +119,8 @@
         Slot& slot = line_.emplace_back(*this);
         const auto taken = clients_.core_.take(slot, std::move(std::get<protocol::Command>(said)), at);
         slot.command = taken.command;
-        // Over what may be held it was never sent, so that trying again is harmless; with a command that can't
-        // be right it would be as wrong the next time.
+        // Over what may be held it was never sent, so that trying again is harmless; with a command that
+        // can't be right it would be as wrong the next time.
         if (!taken.command)
             answer(slot, taken.wrong.empty() ? "-BUSY\r\n" : "-ERR " + std::string(taken.wrong) + "\r\n");
     }
@@ -178,8 +178,8 @@
         connection_.read(wanted && !rests);
     }
 
-    // Until when the client has to have done its part: sent the whole of a command that it has begun, its first
-    // one since it connected, or read some of its answers.
+    // Until when the client has to have done its part: sent the whole of a command that it has begun, its
+    // first one since it connected, or read some of its answers.
     void watchOver() {
         const bool unread = connection_.unsent() > 0;
         if (!unread || std::exchange(sentBefore_, connection_.sent()) != connection_.sent())
@@ -214,8 +214,8 @@
     std::size_t readInTurn_ = 0;
     std::size_t ignored_ = 0;
     std::uint64_t turn_ = 0;  // the one that the bytes above were read in
-    bool ending_ = false;    // nothing more is read of it
-    bool lingers_ = false;   // told all, until it has read that
+    bool ending_ = false;     // nothing more is read of it
+    bool lingers_ = false;    // told all, until it has read that
     bool listens_ = false;
     bool spoke_ = false;
     Nanos heardAt_ = 0;    // when it last sent something or got an answer
@@ -245,8 +245,8 @@
     client.start();
 }
 
-// First who is only let read its last answer, then who has not said anything yet, oldest first, so that a crowd
-// that says nothing makes room for itself; then who has, and hasn't lately.
+// First who is only let read its last answer, then who has not said anything yet, oldest first, so that a
+// crowd that says nothing makes room for itself; then who has, and hasn't lately.
 bool Clients::makeRoom() {
     if (clients_.size() < most_) return true;
     const Nanos since = transport::Loop::now() - kKeptIdle;
@@ -280,15 +280,15 @@
 }
 
 // Who doesn't read, has many answers stand behind one that doesn't come, or begins commands and leaves them,
-// fills the machine. Who holds most goes, or who has held a begun one longest; a quarter of the buffers is left
-// for writing to the caches.
+// fills the machine. Who holds most goes, or who has held a begun one longest; a quarter of the buffers is
+// left for writing to the caches.
 bool Clients::relieve(const Client& writing) {
     while (pool_.left() < pool_.most() / 4 || ready_ > mostHeld_ || half_ > mostHeld_) {
-        const auto most = half_ > mostHeld_
-                              ? std::find_if(clients_.begin(), clients_.end(), [](auto& c) { return c->half() > 0; })
-                              : std::max_element(clients_.begin(), clients_.end(), [](auto& a, auto& b) {
-                                    return a->holds() < b->holds();
-                                });
+        const auto most =
+            half_ > mostHeld_
+                ? std::find_if(clients_.begin(), clients_.end(), [](auto& c) { return c->half() > 0; })
+                : std::max_element(clients_.begin(), clients_.end(),
+                                   [](auto& a, auto& b) { return a->holds() < b->holds(); });
         if (most == clients_.end() || (*most)->holds() + (*most)->half() == 0) return true;
         const bool itself = most->get() == &writing;
         clients_.erase(most);
--- a/src/routing/core.hpp
+++ b/src/routing/core.hpp
@@ -51,8 +51,8 @@
     Core(transport::Loop& loop, transport::Pool& pool, const protocol::Start& start, std::size_t mostLinks,
          Log log);
 
-    // Without a command, the asker is to be told: what is wrong with it, or else that the router holds as many
-    // as it may.
+    // Without a command, the asker is to be told: what is wrong with it, or else that the router holds as
+    // many as it may.
     struct Taken {
         Command* command = nullptr;
         std::string_view wrong;
--- a/src/routing/upstream.hpp
+++ b/src/routing/upstream.hpp
@@ -48,8 +48,8 @@
     std::size_t mostHeld = 0;  // bytes of answers that are not whole yet
     std::size_t held = 0;
     std::size_t count = 0;
-    // A connection is free or there is room for one. Relays that wait for that go with the next turn and not at
-    // once: what else came on a connection, or that it has ended, is only read by then.
+    // A connection is free or there is room for one. Relays that wait for that go with the next turn and not
+    // at once: what else came on a connection, or that it has ended, is only read by then.
     bool freed = false;
 
     bool makeRoom();  // closes the connection that has idled longest, if it must
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -157,6 +157,38 @@
     }
 }
 
+TEST_CASE("a cache gone for two generations is forgotten, and what was relayed to it may end all the same") {
+    World w(false, 1);
+    for (CommandId id = 1; id <= 20; ++id, w.now += 10 * ms) {
+        CHECK(w.ask(id) == "a");
+        w.end(id, 0, Ending::noRoom);
+    }
+    CHECK(w.ask(21) == "a");
+    w.router.news(w.now, NewsKind::changes, {{"a", "z", "m", Presence::gone}});
+    for (int i = 0; i < 3; ++i, w.now += 10'000 * ms) w.router.settle(w.now);
+    CHECK(w.end(21, 0, Ending::errored) == "declined");
+    // One that is known for full queues gets one relay at a time; as a new one it has its opening again.
+    w.router.news(w.now, NewsKind::changes, {{"a", "z", "m"}});
+    CHECK(w.ask(22) == "a");
+    CHECK(w.ask(23) == "a");
+}
+
+TEST_CASE("where a late answer is worth something, a lost one is given up in time for another") {
+    for (const double late : {0.0, 0.3}) {
+        Terms terms = smallTerms(false);
+        terms.verbs[0].goal = 170 * ms;
+        terms.verbs[0].lateUtility = late;
+        World w(terms, 4);
+        for (CommandId id = 100; id < 140; ++id, w.now += 50 * ms) {
+            w.ask(id, std::to_string(id));
+            w.end(id, 0, Ending::answered, true, 50 * ms);
+        }
+        w.ask(1);
+        const Nanos patience = w.host.told.back().at - w.now;
+        CHECK(patience == (late > 0 ? 200 * ms : 2'000 * ms));
+    }
+}
+
 TEST_CASE("hints last one generation beyond the one they were registered in") {
     World w;
     const std::string home = w.serve(1, "k");
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -254,7 +254,8 @@
     cache.say(hit("vb") + hit("va"));
     CHECK(client.answer() == "vb");
     CHECK(cache.ended());
-    // Two at once, one of which may wait for the connection of the other: its second copy is not for that one.
+    // Two at once, one of which may wait for the connection of the other: its second copy is not for that
+    // one.
     client.say(get("c"));
     cache = stage.caches[0].accept();
     cache.command();
