--- a/src/program/program.cpp
+++ b/src/program/program.cpp
@@ -15,13 +15,13 @@
 constexpr Nanos kMostWait = 20'000 * kMillisecond;  // of a call to discovery
 constexpr Nanos kLeastWait = 1'000 * kMillisecond;
 constexpr std::size_t kOwnDescriptors = 32;          // standard streams, loop, signals, listener, discovery
-constexpr std::size_t kMemoryOfClient = 128 * 1024;  // a half-sent command and what its decoder holds
+constexpr std::size_t kMemoryOfClient = 8 * 1024;  // beside half-sent commands and answers, bounded elsewhere
 
 std::size_t mostLinks(const protocol::Start& start) { return start.descriptors * 2 / 5; }
 
 std::size_t mostClients(const protocol::Start& start) {
     const std::size_t left = start.descriptors - mostLinks(start) - kOwnDescriptors;
-    return std::max<std::size_t>(std::min(left, start.memory / 2 / kMemoryOfClient), 1);
+    return std::max<std::size_t>(std::min(left, start.memory / 8 / kMemoryOfClient), 1);
 }
 
 transport::Address addressOf(const std::string& text, const char* what) {
@@ -31,8 +31,8 @@
 
 }  // namespace
 
-Program::Program(protocol::Start start)
-    : start_(std::move(start)), pool_(start_.memory / 8 / transport::kBufferSize) {
+Program::Program(Read read)
+    : read_(std::move(read)), start_(read_()), pool_(start_.memory / 8 / transport::kBufferSize) {
     const auto log = [this](std::string_view text) { logger_.line(text); };
     // A descriptor more than the system gives would end in refused clients.
     rlimit files{};
@@ -50,31 +50,33 @@
     // What discovery holds back for a call that waits counts as told soon after; the shorter the wait, the
     // sooner a silent discovery is noticed.
     const Nanos wait = std::clamp(start_.terms.askWithin, kLeastWait, kMostWait);
-    watch_.emplace(loop_, pool_, *core_, discovery, start_.discovery, start_.known.version, wait, log);
+    watch_.emplace(loop_, pool_, *core_, discovery, start_.discovery, start_.known.version, wait,
+                   start_.memory / 64, log);
     core_->askForList = [this] { watch_->want(); };
     next_.emplace(loop_, [this] { enter(state_ == State::leaving ? State::draining : State::done); });
     const std::string problem = clients_->listen(listen);
     if (!problem.empty())
         throw protocol::Malformed(fmt::format("can't listen on {}: {}", start_.listen, problem));
-    watchSignals();
 }
 
-Program::~Program() {
-    for (uv_signal_t* signal : {&terminate_, &interrupt_})
-        if (signal->data) uv_close(reinterpret_cast<uv_handle_t*>(signal), nullptr);
+void Program::leave() {
+    if (state_ == State::serving) enter(State::leaving);
 }
 
-void Program::watchSignals() {
-    for (const auto& [handle, number] : {std::pair{&terminate_, SIGTERM}, std::pair{&interrupt_, SIGINT}}) {
-        uv_signal_init(loop_.raw(), handle);
-        handle->data = this;
-        uv_signal_start(
-            handle,
-            [](uv_signal_t* s, int) {
-                auto* const program = static_cast<Program*>(s->data);
-                if (program->state_ == State::serving) program->enter(State::leaving);
-            },
-            number);
+void Program::reload() {
+    // While it leaves too: what it still owes goes by the list.
+    try {
+        protocol::Start fresh = read_();
+        const auto discovery = addressOf(fresh.discovery, "discovery");
+        fresh.terms.seed = start_.terms.seed;  // another one with each start
+        const bool more = fresh.listen != start_.listen || fresh.memory != start_.memory ||
+                          fresh.terms != start_.terms;
+        logger_.line(fmt::format("read its configuration anew, discovery at {}{}", fresh.discovery,
+                                 more ? "; other changes wait for the next start" : ""));
+        start_.discovery = fresh.discovery;
+        watch_->moveTo(discovery, fresh.discovery);
+    } catch (const std::exception& problem) {
+        logger_.line(fmt::format("goes on with the old configuration: {}", problem.what()));
     }
 }
 
@@ -86,6 +88,7 @@
 }
 
 void Program::turn() {
+    clients_->turn();
     core_->turn();
     if (state_ == State::draining && clients_->closed()) enter(State::done);
 }
