--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -165,7 +165,7 @@
         // At the origin all routers queue together: small windows bear more there, or large ones starve them.
         const double wanted = std::clamp(2 * idle, least, kLatenessMost) + shared / std::max(size, 0.5);
         // Both medians: the quick one alone wanders over the line where hits and misses mix.
-        if (lateness > wanted && usual > 0.6 * wanted)
+        if (lateness > wanted && usual > 0.9 * wanted)
             cut(now, std::max(spent, static_cast<Nanos>(usual * static_cast<double>(goal))), 0.85);
         else if (out + 1 >= std::floor(size) * 0.75)
             size += std::min(cutAt == 0 ? 0.5 : 0.5 / std::max(size, 2.0), 0.2 * size);
