--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,7 +1,6 @@
 // All decisions of a router. Call it through `Router` in logic.hpp, which is its whole interface: report each
-// event as it comes, then call settle() once for the moment. Events only change the wanted state (what waits
-// for a relay, what is known of the caches); settle() is the one place that turns it into relays, declines,
-// terminations and timers. One Router serves one instance, single-threaded, and shares nothing.
+// event as it comes, then call settle() once for the moment. Events only change the wanted state; settle() is
+// the one place that turns it into relays, declines, terminations and timers. One Router serves one instance.
 #include "logic.hpp"
 
 #include <algorithm>
@@ -156,8 +155,10 @@
         lateness = lateness == 0 ? part : std::max(0.01, lateness * (part > lateness ? 1.1 : 0.9));
         // A slow machine may need most of the goal when idle: only what lies well over that is a queue.
         // Read by slower steps, as the least value of a nervous median is far under what idle caches take;
-        // but a router with a few answers a second takes longer ones, or it would see a jam when it is over.
-        const double step = std::clamp(static_cast<double>(now - learntAt) / (2 * kSecond), 0.02, 0.1);
+        // but a router with a few answers a second takes longer ones, or it would see a jam when it is over,
+        // and so does one that has just started, or its first answer, if quick, would pass for the idle time.
+        const double apart = static_cast<double>(now - learntAt) / (2 * kSecond);
+        const double step = std::max(std::clamp(apart, 0.02, 0.1), 1.0 / (2 + seen));
         learntAt = now;
         usual = usual == 0 ? part : std::max(0.01, usual * (part > usual ? 1 + step : 1 - step));
         if (++seen == kFewAnswers) idle = usual;
@@ -165,7 +166,7 @@
         // At the origin all routers queue together: small windows bear more there, or large ones starve them.
         const double wanted = std::clamp(2 * idle, least, kLatenessMost) + shared / std::max(size, 0.5);
         // Both medians: the quick one alone wanders over the line where hits and misses mix.
-        if (lateness > wanted && usual > 0.9 * wanted)
+        if (lateness > wanted && usual > 0.8 * wanted)
             cut(now, std::max(spent, static_cast<Nanos>(usual * static_cast<double>(goal))), 0.85);
         else if (out + 1 >= std::floor(size) * 0.75)
             size += std::min(cutAt == 0 ? 0.5 : 0.5 / std::max(size, 2.0), 0.2 * size);
@@ -309,8 +310,7 @@
         return inGroup && now - mayHaveRun->sentAt < cmd.verb->remembered;
     }
 
-    // Worked out once for each state of the fleet: at a hundred caches, once for each command cost most of
-    // all.
+    // Once for each state of the fleet: at a hundred caches, once for each command cost most of all.
     void survey(Nanos now) {
         surveyed = fleetState;
         ranked.clear();
--- a/src/program/program.cpp
+++ b/src/program/program.cpp
@@ -46,12 +46,12 @@
     const auto listen = addressOf(start_.listen, "listen");
     const auto discovery = addressOf(start_.discovery, "discovery");
     core_.emplace(loop_, pool_, start_, mostLinks(start_), log);
-    clients_.emplace(loop_, pool_, *core_, mostClients(start_), start_.memory / 8, 2 * start_.idle);
+    clients_.emplace(loop_, pool_, *core_, mostClients(start_), start_.memory / 16, 2 * start_.idle);
     // What discovery holds back for a call that waits counts as told soon after; the shorter the wait, the
     // sooner a silent discovery is noticed.
     const Nanos wait = std::clamp(start_.terms.askWithin, kLeastWait, kMostWait);
     watch_.emplace(loop_, pool_, *core_, discovery, start_.discovery, start_.known.version, wait,
-                   start_.memory / 64, log);
+                   start_.memory / 128, log);
     core_->askForList = [this] { watch_->want(); };
     next_.emplace(loop_, [this] { enter(state_ == State::leaving ? State::draining : State::done); });
     const std::string problem = clients_->listen(listen);
--- a/src/routing/clients.cpp
+++ b/src/routing/clients.cpp
@@ -48,7 +48,7 @@
     }
 
     transport::Connection& connection() { return connection_; }
-    std::list<std::unique_ptr<Client>>::iterator place;
+    Clients::Place place;
 
     void start() {
         heardAt_ = owesSince_ = transport::Loop::now();
@@ -70,7 +70,7 @@
         void tell(Final final) override {
             command = nullptr;
             client.answer(*this, wordsOf(final));
-            client.heardAt_ = transport::Loop::now();
+            client.heard();
             client.flush();
         }
         Client& client;
@@ -79,6 +79,10 @@
         bool thenEnd = false;
     };
 
+    void heard() {
+        heardAt_ = transport::Loop::now();
+        clients_.clients_.splice(clients_.clients_.end(), clients_.clients_, place);
+    }
     bool owed() const { return !line_.empty() || connection_.unsent() > 0; }
     bool idle() const { return !owed() && !decoder_.within() && !ending_; }
 
@@ -90,8 +94,7 @@
         }
         if (std::exchange(turn_, clients_.turn_) != clients_.turn_) readInTurn_ = 0;
         readInTurn_ += bytes.size();
-        clients_.clients_.splice(clients_.clients_.end(), clients_.clients_, place);
-        heardAt_ = transport::Loop::now();
+        heard();
         const Nanos at = clients_.loop_.arrivedBy();
         if (!decoder_.within() && owesSince_ == 0) owesSince_ = heardAt_;
         while (!bytes.empty() && !ending_) {
@@ -249,20 +252,30 @@
 // crowd that says nothing makes room for itself; then who has, and hasn't lately.
 bool Clients::makeRoom() {
     if (clients_.size() < most_) return true;
-    const Nanos since = transport::Loop::now() - kKeptIdle;
     auto gone = std::find_if(clients_.begin(), clients_.end(), [](auto& c) { return c->lingers(); });
-    for (const bool spoken : {false, true})
-        if (gone == clients_.end())
-            gone = std::find_if(clients_.begin(), clients_.end(), [&](auto& c) {
-                return c->hasSpoken() == spoken && (!spoken || c->heardAt() <= since) && c->mayClose();
-            });
+    if (gone == clients_.end())
+        gone = std::find_if(clients_.begin(), clients_.end(),
+                            [](auto& c) { return !c->hasSpoken() && c->mayClose(); });
+    if (gone == clients_.end()) gone = idlest();
     if (gone == clients_.end()) return false;
     clients_.erase(gone);
     return true;
 }
 
+// Who has spoken and not lately, or none.
+Clients::Place Clients::idlest() {
+    const Nanos since = transport::Loop::now() - kKeptIdle;
+    for (auto it = clients_.begin(); it != clients_.end() && (*it)->heardAt() <= since; ++it)
+        if ((*it)->hasSpoken() && (*it)->mayClose()) return it;
+    return clients_.end();
+}
+
 void Clients::turn() {
     ++turn_;
+    // Half of the places are kept free of those that idle: connections that were used once and stay would
+    // leave none behind a front that opens only so many.
+    for (auto it = idlest(); clients_.size() > most_ / 2 && it != clients_.end(); it = idlest())
+        clients_.erase(it);
     while (!rested_.empty()) {
         Client* const client = rested_.back();
         rested_.pop_back();
--- a/src/routing/clients.hpp
+++ b/src/routing/clients.hpp
@@ -33,7 +33,9 @@
     friend class Client;
     void admit(const std::function<bool(transport::Connection&)>& finish);
     void drop(Client& client);  // which is gone after this
+    using Place = std::list<std::unique_ptr<Client>>::iterator;
     bool makeRoom();
+    Place idlest();
     // False when `writing` itself had to go.
     bool relieve(const Client& writing);
 
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -30,7 +30,7 @@
       log_(std::move(log)),
       // Caches close an idle connection at the settings' time at the latest: well before it none crosses
       // that.
-      links_{loop, pool, *this, mostLinks, start.idle / 2, start.connectWithin, {}, start.memory / 8},
+      links_{loop, pool, *this, mostLinks, start.idle / 2, start.connectWithin, {}, start.memory / 16},
       mostOpen_(start.mostOpen),
       mostHeld_(start.memory / 8),
       clockLead_(leadOfClock()),
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -173,6 +173,23 @@
     CHECK(w.ask(23) == "a");
 }
 
+TEST_CASE("a router whose first answer is a quick one takes the usual ones for no jam") {
+    World w;
+    CommandId id = 0;
+    const auto answer = [&](Nanos spent) {
+        ++id;
+        w.ask(id, std::to_string(id));
+        w.now += 5 * ms;
+        w.end(id, 0, Ending::answered, true, spent);
+    };
+    answer(25 * ms);
+    for (int i = 0; i < 600; ++i) answer((i % 2 ? 195 : 215) * ms);
+    int out = 0;
+    for (const char* key : {"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"})
+        out += !w.ask(++id, key).empty();
+    CHECK(out == 12);
+}
+
 TEST_CASE("where a late answer is worth something, a lost one is given up in time for another") {
     for (const double late : {0.0, 0.3}) {
         Terms terms = smallTerms(false);
