--- a/src/routing/upstream.cpp
+++ b/src/routing/upstream.cpp
@@ -27,16 +27,13 @@
     ~Link() override { upstream_.shared_.held -= held_; }
 
     bool open() {
-        idleSince_ = transport::Loop::now();
-        alarm_.set(idleSince_ + upstream_.shared_.connectWithin);
+        alarm_.set(transport::Loop::now() + upstream_.shared_.connectWithin);
         return connection_.open(address_);
     }
     bool up() const { return up_; }
     bool idle() const { return up_ && !relay_; }
     bool quiet() const { return connection_.quiet(); }
     Nanos idleSince() const { return idleSince_; }
-    // Longer than a message travels: had it been closed behind its last answer, that would be known by now.
-    bool rested(Nanos now) const { return answered_ == 0 || now - idleSince_ > trip_; }
     // Of an earlier address, or of a cache that is to get nothing new.
     bool stale() const {
         return upstream_.presence_ != Presence::ready || !upstream_.address_ ||
@@ -66,7 +63,6 @@
         if (!success) return neverUp();
         up_ = true;
         upstream_.heardAt_ = transport::Loop::now();
-        trip_ = upstream_.heardAt_ - idleSince_;
         connection_.read(true);
         rest();
     }
@@ -112,7 +108,6 @@
         Relay* const relay = take();
         if (http_) http_->clear();
         hold(0);
-        ++answered_;
         if (keep)
             rest();
         else
@@ -145,9 +140,7 @@
     protocol::Decoder decoder_{{kLongestValue, 16, 3, 2 * kLongestValue, false}};
     std::optional<protocol::HttpAnswer> http_;
     Relay* relay_ = nullptr;
-    Nanos idleSince_ = 0;  // before it is up, when it was opened
-    Nanos trip_ = 0;       // what that took: a message there and one back
-    std::uint64_t answered_ = 0;
+    Nanos idleSince_ = 0;
     std::size_t held_ = 0;  // bytes of an answer that is not whole yet
     bool up_ = false;
 };
@@ -229,17 +222,11 @@
     }
 }
 
-// The one used last, so that the others can reach their idle time; but one that has just been used only after
-// all others, since its end may be on the way.
+// The one used last, so that the others can reach their idle time.
 Link* Upstream::idle() {
-    const Nanos now = transport::Loop::now();
-    const auto order = [now](const Link& link) {
-        const bool rested = link.rested(now);
-        return std::pair(rested, rested ? link.idleSince() : -link.idleSince());
-    };
     Link* best = nullptr;
     for (auto& link : links_)
-        if (link->idle() && (!best || order(*link) > order(*best))) best = link.get();
+        if (link->idle() && (!best || link->idleSince() > best->idleSince())) best = link.get();
     return best;
 }
 
