--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -4,7 +4,6 @@
 #include "logic.hpp"
 
 #include <algorithm>
-#include <cstdio>
 #include <array>
 #include <cmath>
 #include <limits>
@@ -584,20 +583,8 @@
         for (const auto& c : cmd.lacking) stored ? c->filter.enter(cmd.key) : c->filter.clear(cmd.key);
     }
 
-    Nanos probeAt = 0; int declined = 0, barredN = 0, reachN = 0, lateN = 0, shareN = 0, failN = 0, origN = 0, lackN = 0, wholeN=0, creditN=0;
-    void probe(Nanos now) {
-        if (now < probeAt) return;
-        probeAt = now + 1000 * kMillisecond;
-        char b[4000]; int n = 0;
-        n += snprintf(b+n, sizeof b-n, "PROBE t=%.1f wait=%zu open=%zu whole=%.1f/%d l=%.2f u=%.2f i=%.2f typ=%.0f answers=%.0f pressed=%d fetches=%zu declined=%d barred=%d reach=%d late=%d share=%d failedBefore=%d lacking=%d wholefull=%d write=%d", (now-startedAt)/1e9, waiting.size(), commands.size(), whole.size, whole.out, whole.lateness, whole.usual, whole.idle, typical(now)/1e6, answers.read(now), pressed, fetches.size(), declined, barredN, reachN, lateN, shareN, failN, lackN, wholeN, origN);
-        declined = barredN = reachN = lateN = shareN = failN = origN = lackN = wholeN = 0;
-        for (auto* list : {&origins, &fleet}) for (Cache* c : *list) if (c->presence==Presence::ready)
-            n += snprintf(b+n, sizeof b-n, " [%s%s w=%.1f/%d u=%.2f l=%.2f i=%.2f h=%.0f f=%.0f cr=%.1f%s%s]", c->origin?"O ":"", c->name.substr(2,4).c_str(), c->window.size, c->window.out, c->window.usual, c->window.lateness, c->window.idle, c->heard.read(now), c->failures.read(now), c->credit, warmth(*c,now)<1?" COLD":"", c->asideUntil>now?" ASIDE":"");
-        fprintf(stderr, "%s\n", b);
-    }
     void settle(Nanos now) {
         refresh(now);
-        probe(now);
         if (waiting.size() > 1) {
             // What a cache holds takes half the time of a miss: in a jam a place answers twice as many.
             for (Command* cmd : waiting)
@@ -632,7 +619,6 @@
                     waiting[kept++] = &cmd;
                     continue;
                 }
-                ++declined; barredN += barred; reachN += !inReach; lateN += now >= lastStart; shareN += cmd.beyondShare; failN += cmd.failedBefore; lackN += !cmd.lacking.empty(); wholeN += !whole.open(now, false); origN += cmd.write;
                 finish(cmd, now);
             }
             commands.erase(cmd.id);
--- a/src/routing/clients.cpp
+++ b/src/routing/clients.cpp
@@ -59,7 +59,9 @@
     // What has come in but was not read yet would be lost with the connection.
     bool mayClose() const { return idle() && !connection_.bytesWait(); }
     bool lingers() const { return lingers_ && connection_.unsent() == 0; }
-    bool hasSpoken() const { return spoke_; }
+    bool useful() const { return useful_; }
+    // Of no use so far, and of none to anybody who waits: silent, half said, or all of it wrong.
+    bool mayMakeRoom() const { return !useful_ && !owed() && !ending_ && !connection_.bytesWait(); }
     Nanos heardAt() const { return heardAt_; }
     void goOn() { flush(); }
 
@@ -117,11 +119,14 @@
 
     void take(protocol::Value words, Nanos at) {
         auto said = protocol::readCommand(std::move(words));
-        if (auto* aside = std::get_if<protocol::Aside>(&said))
+        if (auto* aside = std::get_if<protocol::Aside>(&said)) {
+            useful_ = useful_ || !aside->answer.starts_with('-');
             return reply(std::move(aside->answer), aside->thenClose);
+        }
         Slot& slot = line_.emplace_back(*this);
         const auto taken = clients_.core_.take(slot, std::move(std::get<protocol::Command>(said)), at);
         slot.command = taken.command;
+        useful_ = useful_ || taken.wrong.empty();
         // Over what may be held it was never sent, so that trying again is harmless; with a command that
         // can't be right it would be as wrong the next time.
         if (!taken.command)
@@ -221,6 +226,7 @@
     bool lingers_ = false;    // told all, until it has read that
     bool listens_ = false;
     bool spoke_ = false;
+    bool useful_ = false;  // has said something that was right
     Nanos heardAt_ = 0;    // when it last sent something or got an answer
     Nanos owesSince_ = 0;  // when the command began that is not whole yet
     Nanos unreadSince_ = 0;
@@ -248,25 +254,24 @@
     client.start();
 }
 
-// First who is only let read its last answer, then who has not said anything yet, oldest first, so that a
-// crowd that says nothing makes room for itself; then who has, and hasn't lately.
+// First who is only let read its last answer, then who has not said anything right yet, oldest first, so that
+// a crowd that says nothing, half of something or only nonsense makes room for itself; then who idles.
 bool Clients::makeRoom() {
     if (clients_.size() < most_) return true;
     auto gone = std::find_if(clients_.begin(), clients_.end(), [](auto& c) { return c->lingers(); });
     if (gone == clients_.end())
-        gone = std::find_if(clients_.begin(), clients_.end(),
-                            [](auto& c) { return !c->hasSpoken() && c->mayClose(); });
+        gone = std::find_if(clients_.begin(), clients_.end(), [](auto& c) { return c->mayMakeRoom(); });
     if (gone == clients_.end()) gone = idlest();
     if (gone == clients_.end()) return false;
     clients_.erase(gone);
     return true;
 }
 
-// Who has spoken and not lately, or none.
+// Who has said something right, but nothing lately; or none.
 Clients::Place Clients::idlest() {
     const Nanos since = transport::Loop::now() - kKeptIdle;
     for (auto it = clients_.begin(); it != clients_.end() && (*it)->heardAt() <= since; ++it)
-        if ((*it)->hasSpoken() && (*it)->mayClose()) return it;
+        if ((*it)->useful() && (*it)->mayClose()) return it;
     return clients_.end();
 }
 
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -451,7 +451,12 @@
         usleep(100'000);
     }
     std::vector<Socket> silent;
-    for (int i = 0; i < 60; ++i) silent.push_back(stage.client());
+    for (int i = 0; i < 60; ++i) {
+        silent.push_back(stage.client());
+        if (i % 3 == 1) silent.back().say(get("k").substr(0, 9));
+        if (i % 3 == 2) silent.back().say(get("k", "c=nothing,d=900"));
+    }
+    usleep(100'000);
     for (int i = 0; i < 4; ++i) {
         usual.push_back(stage.client());
         CHECK(usual.back().say(array({"PING"})).answer() == "+PONG");
