A fetch at the origin after a relay cut at a cache costs no credit

Checked with a probe that counts declines: 130 of 197 were of commands that had been out and were barred from waiting, half of these with a miss; the origin's credit stood at 0.6 to 3 while most caches had all of theirs. Lines at fault: room() and send() (logic.cpp) asked a credit of the origin for a command that was cut at a cache and then missed at another, though its first fetch doubles no work there. Change: what may have run is kept apart for caches and origin.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -245,7 +245,8 @@
     bool write = false;
     bool closed = false;
     bool failedBefore = false;
-    bool ranBefore = false;  // a relay may have run: a further one doubles work and needs credit
+    // A relay may have run, at a cache or at the origin: a further one there doubles work and needs credit.
+    std::array<bool, 2> ranBefore{};
     bool beyondShare = false;
     bool atCold = false;  // its miss was at a cold cache
     double rank = 0;
@@ -368,9 +369,8 @@
         if (!c.window.open(now, cmd.beyondShare) || !(c.origin || whole.open(now, cmd.beyondShare)) ||
             !legal(cmd, &c, now) || (cmd.beyondShare && pressed))
             return false;
-        // Below one by chance, as a quiet router has few answers of any cache. What each opens with counts
-        // times all routers: two further relays a cache fed a storm of relays turned away as full.
-        if (cmd.ranBefore && c.credit < draw()) return false;
+        // Below one by chance: of any cache a quiet router has few answers, and two a cache fed a storm.
+        if (cmd.ranBefore[c.origin] && c.credit < draw()) return false;
         for (const Relay& r : cmd.relays)
             if (cmd.failedBefore && r.to.get() == &c && !c.origin) return false;
         return coldBudgetLeft(c, now);
@@ -453,7 +453,7 @@
     }
 
     void send(Command& cmd, Cache& to, Nanos now) {
-        if (cmd.ranBefore) to.credit -= 1;
+        if (cmd.ranBefore[to.origin]) to.credit -= 1;
         if (cmd.usage && cmd.relays.empty()) cmd.usage->sent.add(now, 1);
         if (to.origin && !cmd.write && cmd.keyed) fetches[cmd.key] = &cmd;
         if (to.origin) coldFetches += cmd.atCold;
@@ -729,7 +729,7 @@
         registerEnd(cmd, from, end.ending);
         if (cmd.closed || end.over || end.ending == Ending::answered) return void(commands.erase(it));
         if (end.ending != Ending::noneHere) cmd.failedBefore = true;
-        cmd.ranBefore = cmd.ranBefore || relay.standing == Standing::mayHaveRun;
+        if (relay.standing == Standing::mayHaveRun) cmd.ranBefore[from.origin] = true;
         waiting.push_back(&cmd);
     }
 
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -239,6 +239,17 @@
     CHECK(w.host.logs.size() == 1);
 }
 
+TEST_CASE("a fetch at the origin doubles nothing that was cut at a cache, and needs no credit") {
+    Terms terms = smallTerms(true);
+    terms.routers = 1'000'000;  // so that no cache opens with credit
+    World w(terms, 4);
+    for (CommandId id = 100; id < 150; ++id) w.serve(id, std::to_string(id));
+    w.ask(1);
+    const std::string second = w.end(1, 0, Ending::cut);
+    CHECK(second.size() == 1);
+    CHECK(w.end(1, 1, Ending::noneHere) == "origin");
+}
+
 TEST_CASE("further relays end when the caches have no credit left") {
     Terms t = smallTerms(false);
     t.routers = 3;
