Read over: idle clients are looked for only when places are short; one state less

Behaviour stays as it is. - Clients::turn looked for an idle client, with a call to the kernel for the first it met, in every turn before it asked whether more than half of the places were taken.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -163,7 +163,7 @@
         usual = usual == 0 ? part : std::max(0.01, usual * (part > usual ? 1 + step : 1 - step));
         if (++seen == kFewAnswers) idle = usual;
         idle = std::min(idle * 1.0002, usual);
-        // At the origin all routers queue together: small windows bear more there, or large ones starve them.
+        // At the origin all queue together: few bear more, or who knows of a longer idle time starves them.
         const double wanted = std::clamp(2 * idle, least, kLatenessMost) + shared / std::max(size, 0.5);
         // Both medians: the quick one alone wanders over the line where hits and misses mix.
         if (lateness > wanted && usual > 0.8 * wanted)
--- a/src/routing/clients.cpp
+++ b/src/routing/clients.cpp
@@ -106,14 +106,13 @@
                 reply("-ERR Protocol error: " + decoder_.problem() + "\r\n", true);
                 break;
             }
-            spoke_ = true;
             owesSince_ = heardAt_;
             take(decoder_.take(), at);
         }
         const std::size_t half = decoder_.within() && !ending_ ? decoder_.held() : 0;
         clients_.half_ += half - half_;
         half_ = half;
-        if (spoke_ && half_ == 0) owesSince_ = 0;
+        if (half_ == 0) owesSince_ = 0;
         flush();
     }
 
@@ -190,8 +189,8 @@
     // first one since it connected, or read some of its answers.
     void watchOver() {
         const bool unread = connection_.unsent() > 0;
-        if (!unread || std::exchange(sentBefore_, connection_.sent()) != connection_.sent())
-            unreadSince_ = transport::Loop::now();
+        if (!unread || connection_.sent() != sentBefore_) unreadSince_ = transport::Loop::now();
+        sentBefore_ = connection_.sent();
         if (owesSince_ && listens_)
             alarm_.set(owesSince_ + kWhole);
         else if (unread)
@@ -225,7 +224,6 @@
     bool ending_ = false;     // nothing more is read of it
     bool lingers_ = false;    // told all, until it has read that
     bool listens_ = false;
-    bool spoke_ = false;
     bool useful_ = false;  // has said something that was right
     Nanos heardAt_ = 0;    // when it last sent something or got an answer
     Nanos owesSince_ = 0;  // when the command began that is not whole yet
@@ -279,8 +277,11 @@
     ++turn_;
     // Half of the places are kept free of those that idle: connections that were used once and stay would
     // leave none behind a front that opens only so many.
-    for (auto it = idlest(); clients_.size() > most_ / 2 && it != clients_.end(); it = idlest())
+    while (clients_.size() > most_ / 2) {
+        const auto it = idlest();
+        if (it == clients_.end()) break;
         clients_.erase(it);
+    }
     while (!rested_.empty()) {
         Client* const client = rested_.back();
         rested_.pop_back();
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -39,14 +39,32 @@
     return {std::move(first), std::move(second)};
 }
 
-// Notes how relays end, and stops the loop for the story to go on.
-struct Endings : routing::RelayOwner {
+// One cache's connections without a program round them. Notes how relays end, and stops the loop for the
+// story to go on.
+struct Bare : routing::RelayOwner {
+    explicit Bare(std::size_t mostHeld) : links{loop, pool, *this, 8, 1'000 * ms, 200 * ms, {}, mostHeld} {
+        loop.eachTurn([this] { links.tend(); });
+        cache.listed(Presence::ready, transport::parseAddress(door.address()), door.address());
+    }
     void relayEnded(routing::Relay&, protocol::Outcome outcome) override {
         endings.push_back(outcome.ending);
         loop.stop();
     }
-    explicit Endings(transport::Loop& loop) : loop(loop) {}
-    transport::Loop& loop;
+    // Sends the relay and lets the loop run for a moment.
+    void send(routing::Relay& relay) {
+        relay.giveUpAt = transport::Loop::now() + 5'000 * ms;
+        transport::Alarm pause(loop, [this] { loop.stop(); });
+        pause.set(transport::Loop::now() + 100 * ms);
+        cache.send(relay);
+        loop.run();
+    }
+
+    transport::Pool pool{64};
+    transport::Loop loop;
+    routing::Links links;
+    Door door;
+    routing::Upstream cache{links, false};
+    protocol::Command said;
     std::vector<Ending> endings;
 };
 
@@ -132,55 +150,30 @@
 }
 
 TEST_CASE("a kept connection found broken before the command is written leaves it unrun") {
-    transport::Pool pool(64);
-    transport::Loop loop;
-    Endings owner(loop);
-    routing::Links links{loop, pool, owner, 8, 1'000 * ms, 200 * ms, {}, 64 * 1024};
-    loop.eachTurn([&] { links.tend(); });
-    Door door;
-    routing::Upstream cache(links, false);
-    cache.listed(Presence::ready, transport::parseAddress(door.address()), door.address());
-    protocol::Command said;
-    said.info = "c=pay,d=900";
-    routing::Relay first(loop, said, cache), second(loop, said, cache);
-    first.giveUpAt = second.giveUpAt = transport::Loop::now() + 5'000 * ms;
-    transport::Alarm pause(loop, [&] { loop.stop(); });
-    pause.set(transport::Loop::now() + 100 * ms);
-    cache.send(first);
-    loop.run();
-    Socket served = door.accept();
+    Bare bare(64 * 1024);
+    bare.said.info = "c=pay,d=900";
+    routing::Relay first(bare.loop, bare.said, bare.cache), second(bare.loop, bare.said, bare.cache);
+    bare.send(first);
+    Socket served = bare.door.accept();
     CHECK(served.command().size() == 4);
     served.say(hit("v"));
-    loop.run();
+    bare.loop.run();
     served.reset();
     usleep(50'000);
-    door.shut();
-    cache.send(second);
-    loop.run();
-    CHECK(owner.endings == std::vector{Ending::answered, Ending::noRoute});
+    bare.door.shut();
+    bare.send(second);
+    CHECK(bare.endings == std::vector{Ending::answered, Ending::noRoute});
 }
 
 TEST_CASE("a half-read answer past what all of them may hold fails its relay, as one that may have run") {
-    transport::Pool pool(64);
-    transport::Loop loop;
-    Endings owner(loop);
-    routing::Links links{loop, pool, owner, 8, 1'000 * ms, 200 * ms, {}, 16 * 1024};
-    loop.eachTurn([&] { links.tend(); });
-    Door door;
-    routing::Upstream cache(links, false);
-    cache.listed(Presence::ready, transport::parseAddress(door.address()), door.address());
-    protocol::Command said;
-    routing::Relay relay(loop, said, cache);
-    relay.giveUpAt = transport::Loop::now() + 5'000 * ms;
-    transport::Alarm pause(loop, [&] { loop.stop(); });
-    pause.set(transport::Loop::now() + 100 * ms);
-    cache.send(relay);
-    loop.run();
-    Socket half = door.accept();
+    Bare bare(16 * 1024);
+    routing::Relay relay(bare.loop, bare.said, bare.cache);
+    bare.send(relay);
+    Socket half = bare.door.accept();
     half.say(std::string_view(hit(std::string(40 * 1024, 'x'))).substr(0, 30 * 1024));
-    loop.run();
-    CHECK(owner.endings == std::vector{Ending::errored});
-    CHECK(links.held == 0);
+    bare.loop.run();
+    CHECK(bare.endings == std::vector{Ending::errored});
+    CHECK(bare.links.held == 0);
 }
 
 TEST_CASE("answers go out in the order of the commands, and no command waits behind another at a cache") {
