--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 # The usual calls; CMake does the work. PACKAGES are Debian's.
-PACKAGES = libuv1-dev libhttp-parser-dev libfmt-dev nlohmann-json3-dev pkg-config doctest-dev
+PACKAGES = libuv1-dev libhttp-parser-dev libfmt-dev nlohmann-json3-dev pkg-config doctest-dev \
+    libcli11-dev libtomlplusplus-dev
 SOURCES = $(shell git ls-files 'src/*.cpp' 'src/*.hpp' 'tests/*.cpp' 'tests/*.hpp')
 
 .PHONY: build test lint run install-packages clean
@@ -10,7 +11,7 @@
 
 test:
 	cmake -B build-test -DPOPPYSCALE_TESTS=ON -DCMAKE_BUILD_TYPE=Debug
-	cmake --build build-test -j4
+	cmake --build build-test -j8
 	ctest --test-dir build-test --output-on-failure
 
 lint:
--- /dev/null
+++ b/src/lab/audit.cpp
@@ -0,0 +1,252 @@
+#include "lab/audit.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <tuple>
+
+namespace poppyscale::lab {
+namespace {
+
+constexpr std::size_t kMostBreaches = 1000;
+
+std::string text(std::string_view part) { return std::string(part); }
+
+}  // namespace
+
+Audit::Audit(const nlohmann::json& head, Nanos tolerance)
+    : tolerance_(tolerance),
+      slack_(head.at("slack").get<Nanos>()),
+      grace_(head.at("grace").get<Nanos>()),
+      span_(head.at("cold").at("span").get<Nanos>()),
+      ramp_(head.at("cold").at("ramp").get<Nanos>()) {
+    for (const auto& v : head.at("verbs"))
+        verbs_.push_back({v.at("name").get<std::string>(), v.at("effect").get<int>(), v.at("group").get<int>(),
+                          v.at("remembered").get<Nanos>()});
+}
+
+void Audit::breach(const char* rule, const Entry& entry, std::string what) {
+    if (breaches_.size() < kMostBreaches)
+        breaches_.push_back({rule, entry.at, fmt::format("command {:x}: {}", entry.command, what)});
+}
+
+Audit::Command* Audit::commandOf(const Entry& entry) {
+    const auto it = commands_.find(entry.command);
+    return it == commands_.end() ? nullptr : &it->second;
+}
+
+Audit::Run* Audit::runOf(const Entry& entry) {
+    Command* const command = commandOf(entry);
+    if (!command) return nullptr;
+    for (Run& r : command->runs)
+        if (r.run == entry.run) return &r;
+    return nullptr;
+}
+
+bool Audit::mayHaveRun(const Command& command) const {
+    for (const Run& r : command.runs)
+        if (!r.neverRan) return true;
+    return false;
+}
+
+void Audit::see(const Entry& e) {
+    switch (e.what) {
+        case What::server: {
+            if (e.server != static_cast<int>(servers_.size()))
+                throw BadLedger(fmt::format("server {} out of order", e.server));
+            servers_.push_back({text(wordAt(e.text, 0)), text(wordAt(e.text, 1)), text(wordAt(e.text, 2)),
+                                wordAt(e.text, 3) == "origin", std::atof(text(wordAt(e.text, 4)).c_str()),
+                                e.number, {}});
+            break;
+        }
+        case What::asked: {
+            Command c;
+            for (const Verb& v : verbs_)
+                if (v.name == wordAt(e.text, 0)) c.verb = &v;
+            if (!c.verb) throw BadLedger("a verb that the log's head doesn't name");
+            c.router = e.router;
+            c.askedAt = e.at;
+            c.limit = e.number;
+            if (!commands_.emplace(e.command, std::move(c)).second) throw BadLedger("one command asked twice");
+            break;
+        }
+        case What::answered:
+            answered(e);
+            break;
+        case What::declined:
+            declined(e);
+            break;
+        case What::terminated:
+            if (Command* const c = commandOf(e)) final(e, *c);
+            break;
+        case What::unsent:
+            // A router that is there owes an answer to what reaches it.
+            if (Command* const c = commandOf(e)) {
+                const auto gone = goneAt_.find(c->router);
+                if (gone == goneAt_.end()) breach("lost", e, "its router was there and took it, or ended it, without an answer");
+                c->left = true;
+            }
+            break;
+        case What::silent:
+            if (Command* const c = commandOf(e)) {
+                c->silent = true;
+                breach("lost", e, fmt::format("no answer by its limit at {} ms", c->limit / kMillisecond));
+            }
+            break;
+        case What::left:
+            if (Command* const c = commandOf(e)) c->left = true;
+            break;
+        case What::sent:
+            sent(e);
+            break;
+        case What::began:
+            if (Command* const c = commandOf(e)) {
+                if (c->verb->effect == 0) break;
+                for (Run& r : c->runs) {
+                    if (r.run == e.run) r.began = true;
+                    // A receipted one may run again where its mark is not known, within what is allowed: that
+                    // is judged by where it was sent.
+                    else if (r.began && c->verb->effect == 2)
+                        breach("twice", e, fmt::format("took effect at {} and at {}", servers_.at(static_cast<std::size_t>(r.server)).name,
+                                                       servers_.at(static_cast<std::size_t>(e.server)).name));
+                }
+            }
+            break;
+        case What::ended:
+            if (Run* const r = runOf(e)) {
+                if (r->outUntil < 0) r->outUntil = e.at;
+                const auto how = wordAt(e.text, 0);
+                if (how == "value") r->token = wordAt(e.text, 1);
+                r->neverRan = how == "busy" || how == "miss";
+                const Server& s = servers_.at(static_cast<std::size_t>(r->server));
+                if (how == "miss" && s.startedAt > 0 && e.at - s.startedAt < ramp_) commandOf(e)->missedCold = true;
+            }
+            break;
+        case What::closed:
+        case What::broke:
+            if (Run* const r = runOf(e); r && r->outUntil < 0) r->outUntil = e.at;
+            break;
+        case What::listed: {
+            Told& t = told_[{e.router, e.server}];
+            if (e.text == "ready") {
+                t.awayAt = -1;
+                t.startedAt = e.number;
+            } else if (t.awayAt < 0) {
+                t.awayAt = e.at;
+            }
+            break;
+        }
+        case What::started: {
+            Server& s = servers_.at(static_cast<std::size_t>(e.server));
+            s.startedAt = e.number;
+            s.recent.clear();
+            break;
+        }
+        case What::fell:
+            fell(e);
+            break;
+        case What::killed:
+            goneAt_[e.router] = e.at;
+            if (e.text == "by itself") breach("crash", e, fmt::format("router {} ended by itself", e.router));
+            for (auto it = told_.begin(); it != told_.end();)
+                it = it->first.first == e.router ? told_.erase(it) : std::next(it);
+            break;
+        case What::stopping:
+            goneAt_[e.router] = e.at;
+            break;
+        case What::up:
+            goneAt_.erase(e.router);
+            break;
+        case What::fault:
+        case What::late:
+            break;
+    }
+}
+
+void Audit::final(const Entry& e, Command& c) {
+    ++c.finals;
+    if (c.left || c.silent) return;
+    if (c.finals > 1) breach("lost", e, "a second final answer");
+    if (e.at > c.limit + slack_) breach("lost", e, "its answer came after its limit");
+}
+
+void Audit::answered(const Entry& e) {
+    Command* const c = commandOf(e);
+    if (!c) return breach("foreign", e, "an answer to what nobody asked");
+    final(e, *c);
+    for (const Run& r : c->runs)
+        if (!r.token.empty() && r.token == e.text) return;
+    breach("foreign", e, fmt::format("answered with '{}', which no server gave for it", e.text.substr(0, 40)));
+}
+
+void Audit::declined(const Entry& e) {
+    Command* const c = commandOf(e);
+    if (!c) return;
+    final(e, *c);
+    // It says that coming again is harmless.
+    const bool bound = c->verb->effect == 2 || (c->verb->effect == 1 && c->verb->group != 0);
+    if (bound && mayHaveRun(*c)) breach("twice", e, "declined though it may have run");
+}
+
+void Audit::sent(const Entry& e) {
+    const auto index = static_cast<std::size_t>(e.server);
+    Server& s = servers_.at(index);
+    const auto told = told_.find({e.router, e.server});
+    if (told != told_.end() && told->second.awayAt >= 0 && e.at > told->second.awayAt + grace_ + tolerance_)
+        breach("drain", e, fmt::format("sent to {} {} ms after router {} was told it leaves", s.name,
+                                       (e.at - told->second.awayAt) / kMillisecond, e.router));
+    Command* const c = commandOf(e);
+    const bool knew = told != told_.end() && told->second.startedAt == s.startedAt;
+    s.recent.push_back({e.at, static_cast<double>(e.number), s.origin ? c && c->missedCold : knew});
+    while (!s.recent.empty() && s.recent.front().at <= e.at - span_) s.recent.pop_front();
+    if (!c) return breach("foreign", e, "a relay of what nobody asked");
+    for (const Run& earlier : c->runs) {
+        if (earlier.neverRan || c->verb->effect == 0) continue;
+        const Server& before = servers_.at(static_cast<std::size_t>(earlier.server));
+        if (c->verb->effect == 2) {
+            breach("twice", e, fmt::format("sent to {} though it may have run at {}", s.name, before.name));
+            break;
+        }
+        const bool same = c->verb->group == 0 || (c->verb->group == 1 && before.zone == s.zone) ||
+                          (c->verb->group == 2 && before.cell == s.cell);
+        if (!same || e.at > earlier.sentAt + c->verb->remembered + tolerance_) {
+            breach("twice", e, fmt::format("sent to {} where what ran at {} is not known", s.name, before.name));
+            break;
+        }
+    }
+    c->runs.push_back({e.run, e.server, e.at, -1, false, false, {}});
+}
+
+void Audit::fell(const Entry& e) {
+    Server& s = servers_.at(static_cast<std::size_t>(e.server));
+    double all = 0, counted = 0;
+    for (const auto& piece : s.recent) {
+        if (piece.at <= e.at - span_) continue;
+        all += piece.work;
+        if (piece.counts) counted += piece.work;
+    }
+    const double part = s.origin ? 0.5 : 2.0 / 3;
+    if (all > 0 && counted >= part * all)
+        breach("cold", e, fmt::format("{} went down, {:.0f}% of its work from {}", s.name, 100 * counted / all,
+                                      s.origin ? "misses at cold caches" : "routers that knew of its start"));
+    s.recent.clear();
+}
+
+const std::vector<Breach>& Audit::finish() {
+    for (const auto& [id, c] : commands_)
+        for (std::size_t i = 1; i < c.runs.size(); ++i)
+            for (std::size_t j = 0; j < i; ++j)
+                if (c.runs[j].outUntil < 0 || c.runs[j].outUntil > c.runs[i].sentAt + tolerance_) {
+                    Entry e;
+                    e.command = id;
+                    e.at = c.runs[i].sentAt;
+                    breach("twice", e, "two relays out at once");
+                }
+    std::sort(breaches_.begin(), breaches_.end(), [](const Breach& a, const Breach& b) {
+        return std::tie(a.at, a.rule, a.what) < std::tie(b.at, b.rule, b.what);
+    });
+    return breaches_;
+}
+
+}  // namespace poppyscale::lab
--- /dev/null
+++ b/src/lab/audit.hpp
@@ -0,0 +1,98 @@
+// The four rules, judged from a log alone. Shares nothing with the router or the module: what is written here of
+// a rule is written a second time on purpose.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "lab/ledger.hpp"
+
+namespace poppyscale::lab {
+
+struct Breach {
+    std::string rule;  // lost, twice, foreign, drain, cold or crash
+    Nanos at = 0;
+    std::string what;
+};
+
+class Audit {
+  public:
+    // `tolerance`: by how much what two sockets tell may be seen in the wrong order.
+    explicit Audit(const nlohmann::json& head, Nanos tolerance = 0);
+
+    void see(const Entry& entry);
+    // After the last entry.
+    const std::vector<Breach>& finish();
+
+  private:
+    struct Verb {
+        std::string name;
+        int effect = 2;  // 0 pure, 1 receipted, 2 effectful
+        int group = 0;   // 0 all, 1 zone, 2 cell
+        Nanos remembered = 0;
+    };
+    struct Run {
+        std::uint64_t run = 0;
+        int server = 0;
+        Nanos sentAt = 0;
+        Nanos outUntil = -1;  // -1: still out
+        bool neverRan = false;
+        bool began = false;
+        std::string token;
+    };
+    struct Command {
+        const Verb* verb = nullptr;
+        int router = 0;
+        Nanos askedAt = 0;
+        Nanos limit = 0;
+        int finals = 0;
+        bool left = false;
+        bool silent = false;
+        bool missedCold = false;
+        std::vector<Run> runs;
+    };
+    struct Server {
+        std::string name, zone, cell;
+        bool origin = false;
+        double capacity = 1;
+        Nanos startedAt = 0;
+        struct Piece {
+            Nanos at;
+            double work;
+            bool counts;  // told of its start, or at the origin a miss at a cold cache made it
+        };
+        std::deque<Piece> recent;
+    };
+    struct Told {
+        Nanos awayAt = -1;  // draining or gone since
+        Nanos startedAt = -1;
+    };
+
+    void breach(const char* rule, const Entry& entry, std::string what);
+    void sent(const Entry& entry);
+    void answered(const Entry& entry);
+    void declined(const Entry& entry);
+    void fell(const Entry& entry);
+    Run* runOf(const Entry& entry);
+    Command* commandOf(const Entry& entry);
+    void final(const Entry& entry, Command& command);
+    bool mayHaveRun(const Command& command) const;
+
+    Nanos tolerance_;
+    Nanos slack_;
+    Nanos grace_;
+    Nanos span_;
+    Nanos ramp_;
+    std::vector<Verb> verbs_;
+    std::unordered_map<std::uint64_t, Command> commands_;
+    std::vector<Server> servers_;
+    std::map<std::pair<int, int>, Told> told_;
+    std::map<int, Nanos> goneAt_;      // routers: when last killed or told to stop
+    std::vector<Breach> breaches_;
+};
+
+}  // namespace poppyscale::lab
--- /dev/null
+++ b/src/lab/figures.cpp
@@ -0,0 +1,171 @@
+#include "lab/figures.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace poppyscale::lab {
+namespace {
+
+constexpr double kNanos = 1e9;
+
+double share(double part, double all) { return all > 0 ? part / all : 0; }
+
+}  // namespace
+
+double Times::ms(double part) {
+    if (all_.empty()) return 0;
+    const auto rank = std::min(static_cast<std::size_t>(part * static_cast<double>(all_.size())), all_.size() - 1);
+    const auto at = all_.begin() + static_cast<std::ptrdiff_t>(rank);
+    std::nth_element(all_.begin(), at, all_.end());
+    return static_cast<double>(*at) / 1e6;
+}
+
+Figures::Figures(const nlohmann::json& head) : head_(head) {
+    for (const auto& v : head_.at("verbs")) verbNames_.push_back(v.at("name").get<std::string>());
+    perVerb_.resize(verbNames_.size());
+    inGoalOfVerb_.resize(verbNames_.size());
+}
+
+Figures::Second& Figures::second(Nanos at) {
+    const auto index = static_cast<std::size_t>(std::max<Nanos>(at, 0) / (1'000 * kMillisecond));
+    if (seconds_.size() <= index) seconds_.resize(index + 1);
+    return seconds_[index];
+}
+
+void Figures::see(const Entry& e) {
+    if (e.what != What::server) lastAt_ = std::max(lastAt_, e.at);
+    const auto wishOf = [&]() -> Wish* {
+        const auto first = firsts_.find(e.command);
+        return first == firsts_.end() ? nullptr : &wishes_.at(first->second);
+    };
+    switch (e.what) {
+        case What::server:
+            names_.emplace_back(wordAt(e.text, 0));
+            capacities_.push_back(std::atof(std::string(wordAt(e.text, 4)).c_str()));
+            break;
+        case What::asked: {
+            const std::uint64_t first = std::strtoull(std::string(wordAt(e.text, 3)).c_str(), nullptr, 16);
+            firsts_[e.command] = first;
+            ++tries_;
+            if (wordAt(e.text, 4) != "1") break;
+            const auto verb = std::find(verbNames_.begin(), verbNames_.end(), wordAt(e.text, 0));
+            const auto index = static_cast<int>(verb - verbNames_.begin());
+            wishes_[first] = {index, static_cast<Nanos>(e.run), true};
+            ++asked_;
+            ++perVerb_.at(static_cast<std::size_t>(index));
+            utilityMost_ += head_["verbs"][static_cast<std::size_t>(index)]["utility"].get<double>();
+            ++second(e.at).asked;
+            break;
+        }
+        case What::answered:
+            if (Wish* const wish = wishOf(); wish && std::exchange(wish->open, false)) {
+                const auto& verb = head_["verbs"][static_cast<std::size_t>(wish->verb)];
+                const Nanos took = e.at - wish->dueAt;
+                const bool inGoal = took <= verb["goal"].get<Nanos>();
+                ++answered_;
+                inGoal_ += inGoal;
+                inGoalOfVerb_[static_cast<std::size_t>(wish->verb)] += inGoal;
+                utility_ += verb["utility"].get<double>() * (inGoal ? 1 : verb["late"].get<double>());
+                times_.add(took);
+                Second& s = second(e.at);
+                ++s.answered;
+                s.times.add(took);
+            }
+            break;
+        case What::declined:
+            ++declined_;
+            ++second(e.at).declined;
+            break;
+        case What::terminated:
+            ++terminated_;
+            ++second(e.at).terminated;
+            break;
+        case What::unsent:
+            ++unsent_;
+            break;
+        case What::silent:
+            ++silent_;
+            break;
+        case What::sent: {
+            ++relays_;
+            Second& s = second(e.at);
+            ++s.relays;
+            ++s.relaysOf[e.server];
+            if (e.server != 0) break;
+            originWork_ += static_cast<double>(e.number);
+            s.originLoad += static_cast<double>(e.number) / kNanos / capacities_.at(0);
+            break;
+        }
+        case What::ended: {
+            const auto how = wordAt(e.text, 0);
+            busy_ += how == "busy";
+            errors_ += how == "error" || how == "spoilt";
+            if (e.server == 0) break;
+            hits_ += how == "value";
+            reads_ += how == "value" || how == "miss";
+            if (how == "miss") ++second(e.at).misses;
+            break;
+        }
+        case What::fault:
+            marks_.push_back({static_cast<double>(e.at) / kNanos, e.text});
+            break;
+        case What::late:
+            lateness_.add(e.number);
+            break;
+        default:
+            break;
+    }
+}
+
+const std::vector<std::pair<std::string, double>>& Figures::finish() {
+    const double length = static_cast<double>(head_.at("length").get<Nanos>()) / kNanos;
+    all_ = {{"asked", asked_},
+            {"goal", share(static_cast<double>(inGoal_), static_cast<double>(asked_))},
+            {"answered", share(static_cast<double>(answered_), static_cast<double>(asked_))},
+            {"utility", share(utility_, utilityMost_)},
+            {"declined", share(static_cast<double>(declined_), static_cast<double>(tries_))},
+            {"terminated", share(static_cast<double>(terminated_), static_cast<double>(tries_))},
+            {"unsent", unsent_},
+            {"silent", silent_},
+            {"p50_ms", times_.ms(0.5)},
+            {"p99_ms", times_.ms(0.99)},
+            {"p999_ms", times_.ms(0.999)},
+            {"relays", share(static_cast<double>(relays_), static_cast<double>(tries_))},
+            {"hits", share(static_cast<double>(hits_), static_cast<double>(reads_))},
+            {"busy", share(static_cast<double>(busy_), static_cast<double>(relays_))},
+            {"errors", share(static_cast<double>(errors_), static_cast<double>(relays_))},
+            {"origin_mean", capacities_.empty() || length <= 0 ? 0 : originWork_ / kNanos / capacities_[0] / length}};
+    for (std::size_t v = 0; v < verbNames_.size(); ++v)
+        all_.emplace_back("goal_" + verbNames_[v], share(inGoalOfVerb_[v], perVerb_[v]));
+    if (lateness_.count() > 0) {
+        all_.emplace_back("late_p50_ms", lateness_.ms(0.5));
+        all_.emplace_back("late_p99_ms", lateness_.ms(0.99));
+        all_.emplace_back("late_most_ms", lateness_.ms(1));
+    }
+    return all_;
+}
+
+double Figures::of(const std::string& name) const {
+    for (const auto& [n, value] : all_)
+        if (n == name) return value;
+    return 0;
+}
+
+std::vector<std::string> Figures::missed() const {
+    std::vector<std::string> missed;
+    const auto& bounds = head_.at("bounds");
+    for (const auto& [name, bound] : bounds.items()) {
+        const bool least = name == "goal" || name == "answered";
+        const double is = of(name), wanted = bound.get<double>();
+        if (least ? is < wanted : is > wanted) missed.push_back("bound-" + name);
+    }
+    return missed;
+}
+
+nlohmann::json Figures::json() const {
+    nlohmann::json out{{"scenario", head_.at("scenario")}, {"seed", head_.at("seed")}};
+    for (const auto& [name, value] : all_) out["figures"][name] = value;
+    return out;
+}
+
+}  // namespace poppyscale::lab
--- /dev/null
+++ b/src/lab/figures.hpp
@@ -0,0 +1,77 @@
+// What a run comes to, from its log: shares, times, loads, second by second and in all.
+#pragma once
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "lab/ledger.hpp"
+
+namespace poppyscale::lab {
+
+// Exact: a run's times are few enough to keep, so nothing has to be put in classes.
+class Times {
+  public:
+    void add(Nanos time) { all_.push_back(time); }
+    double ms(double part);  // 0 without any
+    std::size_t count() const { return all_.size(); }
+
+  private:
+    std::vector<Nanos> all_;
+};
+
+class Figures {
+  public:
+    explicit Figures(const nlohmann::json& head);
+    void see(const Entry& entry);
+    // After the last entry: all figures by name, in the order in which they are printed.
+    const std::vector<std::pair<std::string, double>>& finish();
+    double of(const std::string& name) const;
+    // Bounds of the scenario that are not kept, each "bound-NAME".
+    std::vector<std::string> missed() const;
+
+    struct Second {
+        int asked = 0, answered = 0, declined = 0, terminated = 0, relays = 0, misses = 0;
+        double originLoad = 0;  // of its capacity
+        Times times;
+        std::map<int, int> relaysOf;  // by server
+    };
+    std::vector<Second>& seconds() { return seconds_; }
+    struct Mark {
+        double at;  // seconds
+        std::string text;
+    };
+    const std::vector<Mark>& marks() const { return marks_; }
+    const std::vector<std::string>& serverNames() const { return names_; }
+    nlohmann::json json() const;
+
+  private:
+    // All tries of one command together.
+    struct Wish {
+        int verb = 0;
+        Nanos dueAt = 0;
+        bool open = true;
+    };
+    Second& second(Nanos at);
+
+    nlohmann::json head_;
+    std::vector<std::string> verbNames_;
+    std::unordered_map<std::uint64_t, std::uint64_t> firsts_;  // of a try's id
+    std::unordered_map<std::uint64_t, Wish> wishes_;
+    std::vector<Second> seconds_;
+    std::vector<Mark> marks_;
+    std::vector<std::string> names_;
+    std::vector<double> capacities_;
+    std::vector<int> perVerb_, inGoalOfVerb_;
+    Times times_, lateness_;
+    long asked_ = 0, answered_ = 0, inGoal_ = 0, tries_ = 0, declined_ = 0, terminated_ = 0, relays_ = 0, hits_ = 0,
+         reads_ = 0, busy_ = 0, errors_ = 0, unsent_ = 0, silent_ = 0;
+    double originWork_ = 0, utility_ = 0, utilityMost_ = 0;
+    Nanos lastAt_ = 0;
+    std::vector<std::pair<std::string, double>> all_;
+};
+
+}  // namespace poppyscale::lab
--- /dev/null
+++ b/src/lab/judge.cpp
@@ -0,0 +1,77 @@
+#include "lab/judge.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <fstream>
+
+namespace poppyscale::lab {
+namespace {
+
+constexpr std::size_t kShown = 10;  // breaches in full
+
+}  // namespace
+
+void Judge::begin(const nlohmann::json& head) {
+    audit_ = std::make_unique<Audit>(head, tolerance_ ? tolerance_ : head.value("tolerance", Nanos{0}));
+    figures_ = std::make_unique<Figures>(head);
+}
+
+void Judge::follow(Ledger& ledger) {
+    ledger.watchHead = [this](const nlohmann::json& head) { begin(head); };
+    ledger.watch = [this](const Entry& entry) { see(entry); };
+}
+
+void Judge::see(const Entry& entry) {
+    audit_->see(entry);
+    figures_->see(entry);
+}
+
+std::vector<std::string> Judge::verdict() {
+    if (!std::exchange(finished_, true)) {
+        breaches_ = audit_->finish();
+        figures_->finish();
+    }
+    std::vector<std::string> broken;
+    for (const Breach& b : breaches_)
+        if (std::find(broken.begin(), broken.end(), b.rule) == broken.end()) broken.push_back(b.rule);
+    for (auto& bound : figures_->missed()) broken.push_back(std::move(bound));
+    return broken;
+}
+
+bool Judge::close(const std::string& out) {
+    const auto broken = verdict();
+    for (std::size_t i = 0; i < std::min(breaches_.size(), kShown); ++i)
+        fmt::print(stderr, "{} at {:.3f} s: {}\n", breaches_[i].rule, static_cast<double>(breaches_[i].at) / 1e9,
+                   breaches_[i].what);
+    if (breaches_.size() > kShown) fmt::print(stderr, "and {} more\n", breaches_.size() - kShown);
+    if (!out.empty()) {
+        auto report = figures_->json();
+        for (const auto& [name, value] : extras_) report["figures"][name] = value;
+        report["verdict"] = broken.empty() ? "kept" : "broken";
+        report["broken"] = broken;
+        for (const Breach& b : breaches_)
+            report["breaches"].push_back({{"rule", b.rule}, {"at_ns", b.at}, {"what", b.what}});
+        std::ofstream(out + "/report.json") << report.dump(2) << '\n';
+    }
+    std::string line;
+    auto figures = figures_->finish();
+    figures.insert(figures.end(), extras_.begin(), extras_.end());
+    for (const auto& [name, value] : figures)
+        line += fmt::format("{}{}={:.4g}", line.empty() ? "" : " ", name, value);
+    std::string all;
+    for (const auto& b : broken) all += " " + b;
+    fmt::print("{}\nverdict: {}\n", line, broken.empty() ? "kept" : "broken:" + all);
+    std::fflush(stdout);
+    return broken.empty();
+}
+
+bool judgeAgain(const std::string& dir) {
+    Judge judge;
+    readLedger(
+        dir + "/log.tsv", [&](const nlohmann::json& head) { judge.begin(head); },
+        [&](const Entry& e) { judge.see(e); });
+    return judge.close("");
+}
+
+}  // namespace poppyscale::lab
--- /dev/null
+++ b/src/lab/judge.hpp
@@ -0,0 +1,44 @@
+// A run's figures and its verdict, from its log as it is written or read again.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "lab/audit.hpp"
+#include "lab/figures.hpp"
+#include "lab/ledger.hpp"
+
+namespace poppyscale::lab {
+
+class Judge {
+  public:
+    // `tolerance` as the audit's.
+    explicit Judge(Nanos tolerance = 0) : tolerance_(tolerance) {}
+    // Before the ledger's head is written.
+    void follow(Ledger& ledger);
+    void begin(const nlohmann::json& head);
+    void see(const Entry& entry);
+    void extra(const std::string& name, double value) { extras_.emplace_back(name, value); }
+
+    // All breaches and bounds that were not kept, each once; empty if all held.
+    std::vector<std::string> verdict();
+    // Prints the line of figures and the verdict, writes the reports into `out` unless that is empty.
+    bool close(const std::string& out);
+    Figures& figures() { return *figures_; }
+    const std::vector<Breach>& breaches() const { return breaches_; }
+
+  private:
+    Nanos tolerance_;
+    std::unique_ptr<Audit> audit_;
+    std::unique_ptr<Figures> figures_;
+    std::vector<std::pair<std::string, double>> extras_;
+    std::vector<Breach> breaches_;
+    bool finished_ = false;
+};
+
+// `poppylab audit DIR`.
+bool judgeAgain(const std::string& dir);
+
+}  // namespace poppyscale::lab
--- /dev/null
+++ b/src/lab/main.cpp
@@ -0,0 +1,100 @@
+// poppylab: a stand-in deployment with load, faults and an audit of every command.
+#include <CLI/CLI.hpp>
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <exception>
+#include <unistd.h>
+
+#include <filesystem>
+#include <iterator>
+#include <string>
+
+#include "lab/audit.hpp"
+#include "lab/figures.hpp"
+#include "lab/judge.hpp"
+#include "lab/ledger.hpp"
+#include "lab/scenario.hpp"
+#include "lab/sim.hpp"
+
+namespace {
+
+using namespace poppyscale;
+using namespace poppyscale::lab;
+
+constexpr int kKept = 0;
+constexpr int kBroken = 1;
+constexpr int kUsage = 2;
+
+struct Wanted {
+    std::string file;
+    std::uint64_t seed = 1;
+    double seconds = 0;
+    int routers = 0;
+    std::string out;
+};
+
+Scenario scenarioFor(const Wanted& wanted) {
+    Scenario s = readScenario(wanted.file);
+    if (wanted.seconds > 0) {
+        s.length = static_cast<Nanos>(wanted.seconds * 1e9);
+        std::erase_if(s.faults, [&](const FaultPlan& f) { return f.at + f.length > s.length; });
+    }
+    if (wanted.routers > 0) s.routers.count = wanted.routers;
+    return s;
+}
+
+std::string logPath(const Wanted& wanted) {
+    if (wanted.out.empty()) return "";
+    std::filesystem::create_directories(wanted.out);
+    return wanted.out + "/log.tsv";
+}
+
+int simulateIt(const Wanted& wanted) {
+    const Scenario s = scenarioFor(wanted);
+    Judge judge;
+    {
+        Ledger ledger(logPath(wanted));
+        judge.follow(ledger);
+        const auto progress = [&](Nanos at) {
+            if (s.length > 5'000 * kMillisecond && isatty(fileno(stderr)))
+                fmt::print(stderr, "\r{} s of {} s ", at / 1'000'000'000, s.length / 1'000'000'000);
+        };
+        const SimResult result = simulate(s, wanted.seed, ledger, progress);
+        judge.extra("sim_pace", static_cast<double>(result.length) / 1e9 / std::max(result.wallSeconds, 1e-9));
+    }
+    return judge.close(wanted.out) ? kKept : kBroken;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    CLI::App app{"poppylab: a stand-in deployment with load, faults and an audit of every command"};
+    app.require_subcommand(1);
+    Wanted wanted;
+    const auto plays = [&](CLI::App* command) {
+        command->add_option("file", wanted.file, "the scenario")->required();
+        command->add_option("--seed", wanted.seed, "everything drawn follows from it");
+        command->add_option("--seconds", wanted.seconds, "instead of the scenario's length");
+        command->add_option("--routers", wanted.routers, "instead of the scenario's number")->check(CLI::Range(1, 1000));
+        command->add_option("--out", wanted.out, "a folder for the log and the reports");
+        return command;
+    };
+    auto* sim = plays(app.add_subcommand("sim", "plays a scenario round the decision module, in virtual time"));
+    auto* audit = app.add_subcommand("audit", "judges a log again");
+    std::string dir;
+    audit->add_option("dir", dir, "the folder of a run")->required();
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& problem) {
+        return app.exit(problem) == 0 ? kKept : kUsage;
+    }
+    try {
+        if (*sim) return simulateIt(wanted);
+        if (*audit) return judgeAgain(dir) ? kKept : kBroken;
+    } catch (const std::exception& problem) {
+        fmt::print(stderr, "poppylab: {}\n", problem.what());
+        return kUsage;
+    }
+    return kUsage;
+}
--- /dev/null
+++ b/src/lab/scenario.cpp
@@ -0,0 +1,469 @@
+#include "lab/scenario.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <fstream>
+#include <iterator>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <toml++/toml.h>
+
+namespace poppyscale::lab {
+namespace {
+
+template <class T>
+using Names = std::vector<std::pair<std::string_view, T>>;
+
+const Names<FaultKind>& faultNames() {
+    static const Names<FaultKind> names{{"crash", FaultKind::crash},
+                                        {"hang", FaultKind::hang},
+                                        {"slow", FaultKind::slow},
+                                        {"errors", FaultKind::errors},
+                                        {"replace", FaultKind::replace},
+                                        {"drain", FaultKind::drain},
+                                        {"cut", FaultKind::cut},
+                                        {"refuse", FaultKind::refuse},
+                                        {"reset", FaultKind::reset},
+                                        {"slow_reader", FaultKind::slowReader},
+                                        {"deaf", FaultKind::deaf},
+                                        {"spoil", FaultKind::spoil},
+                                        {"origin_stop", FaultKind::originStop},
+                                        {"origin_slow", FaultKind::originSlow},
+                                        {"discovery_down", FaultKind::discoveryDown},
+                                        {"discovery_silent", FaultKind::discoverySilent},
+                                        {"discovery_move", FaultKind::discoveryMove},
+                                        {"hot_key", FaultKind::hotKey},
+                                        {"heavy", FaultKind::heavy},
+                                        {"scan", FaultKind::scan},
+                                        {"load", FaultKind::load},
+                                        {"router_kill", FaultKind::routerKill},
+                                        {"router_restart", FaultKind::routerRestart},
+                                        {"reload", FaultKind::reload}};
+    return names;
+}
+
+// One table of the file. Whatever was not asked for when it goes out of use is a key nobody knows.
+class Table {
+  public:
+    Table(const toml::table& table, const std::string& file, std::string path)
+        : table_(table), file_(file), path_(std::move(path)) {}
+
+    [[noreturn]] void fail(std::string_view key, const std::string& what) const {
+        const toml::node* const node = table_.get(key);
+        const auto line = node ? node->source().begin.line : table_.source().begin.line;
+        throw BadScenario(fmt::format("{}:{}: {}: {}", file_, std::max<std::uint32_t>(line, 1), below(key), what));
+    }
+
+    double real(std::string_view key, std::optional<double> otherwise, double least = 0, double most = 1e12) {
+        const toml::node* const node = find(key, !otherwise);
+        if (!node) return *otherwise;
+        const auto value = node->value<double>();
+        if (!node->is_number() || !value || !std::isfinite(*value)) fail(key, "is not a number");
+        if (*value < least || *value > most) fail(key, fmt::format("is not from {} to {}", least, most));
+        return *value;
+    }
+    double part(std::string_view key, std::optional<double> otherwise) { return real(key, otherwise, 0, 1); }
+    int whole(std::string_view key, std::optional<int> otherwise, int least = 0, int most = 10'000'000) {
+        const toml::node* const node = find(key, !otherwise);
+        if (!node) return *otherwise;
+        if (!node->is_integer()) fail(key, "is not a whole number");
+        const std::int64_t value = **node->as_integer();
+        if (value < least || value > most) fail(key, fmt::format("is not from {} to {}", least, most));
+        return static_cast<int>(value);
+    }
+    Nanos millis(std::string_view key, std::optional<double> otherwise) {
+        return static_cast<Nanos>(real(key, otherwise, 0, 1e8) * 1e6);
+    }
+    Nanos micros(std::string_view key, std::optional<double> otherwise) {
+        return static_cast<Nanos>(real(key, otherwise, 0, 1e9) * 1e3);
+    }
+    bool yes(std::string_view key, bool otherwise) {
+        const toml::node* const node = find(key, false);
+        if (!node) return otherwise;
+        if (!node->is_boolean()) fail(key, "is neither true nor false");
+        return **node->as_boolean();
+    }
+    std::string text(std::string_view key, std::optional<std::string> otherwise) {
+        const toml::node* const node = find(key, !otherwise);
+        if (!node) return *otherwise;
+        if (!node->is_string()) fail(key, "is not a text");
+        return **node->as_string();
+    }
+    template <class T>
+    T word(std::string_view key, const Names<T>& names, std::optional<T> otherwise) {
+        const toml::node* const node = find(key, !otherwise);
+        if (!node) return *otherwise;
+        const std::string said = text(key, std::nullopt);
+        for (const auto& [name, value] : names)
+            if (name == said) return value;
+        std::string all;
+        for (const auto& [name, value] : names) all += (all.empty() ? "" : ", ") + std::string(name);
+        fail(key, fmt::format("'{}' is none of {}", said, all));
+    }
+    std::vector<std::string> texts(std::string_view key) {
+        std::vector<std::string> all;
+        const toml::node* const node = find(key, true);
+        if (!node->is_array()) fail(key, "is not a list");
+        for (const toml::node& item : *node->as_array()) {
+            if (!item.is_string() || item.as_string()->get().empty()) fail(key, "holds what is not a name");
+            all.push_back(item.as_string()->get());
+        }
+        return all;
+    }
+    template <class Read>
+    void one(std::string_view key, bool must, Read read) {
+        const toml::node* const node = find(key, must);
+        if (!node) {
+            const toml::table nothing;
+            Table empty(nothing, file_, below(key));
+            return read(empty);
+        }
+        if (!node->is_table()) fail(key, "is not a table");
+        Table inner(*node->as_table(), file_, below(key));
+        read(inner);
+        inner.finish();
+    }
+    template <class Read>
+    void each(std::string_view key, bool must, Read read) {
+        const toml::node* const node = find(key, must);
+        if (!node) return;
+        if (!node->is_array_of_tables()) fail(key, "is not a list of tables");
+        int at = 0;
+        for (const toml::node& item : *node->as_array()) {
+            Table inner(*item.as_table(), file_, fmt::format("{}[{}]", below(key), at++));
+            read(inner);
+            inner.finish();
+        }
+    }
+    void finish() const {
+        for (const auto& [key, node] : table_)
+            if (!asked_.contains(std::string(key.str()))) fail(key.str(), "is not a key that is known here");
+    }
+
+  private:
+    std::string below(std::string_view key) const {
+        return path_.empty() ? std::string(key) : path_ + "." + std::string(key);
+    }
+    const toml::node* find(std::string_view key, bool must) {
+        asked_.emplace(key);
+        const toml::node* const node = table_.get(key);
+        if (!node && must) fail(key, "is missing");
+        return node;
+    }
+
+    const toml::table& table_;
+    const std::string& file_;
+    std::string path_;
+    std::set<std::string> asked_;
+};
+
+void readVerb(Table& t, Scenario& s) {
+    VerbPlan plan;
+    Verb& verb = plan.verb;
+    verb.name = t.text("name", std::nullopt);
+    verb.effect = t.word<Effect>(
+        "effect",
+        {{"pure", Effect::pure}, {"receipted", Effect::receipted}, {"effectful", Effect::effectful}},
+        std::nullopt);
+    if (verb.effect == Effect::receipted) {
+        verb.group = t.word<Group>(
+            "group", {{"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}}, Group::all);
+        verb.remembered = t.millis("remembered_ms", std::nullopt);
+    }
+    verb.goal = t.millis("goal_ms", std::nullopt);
+    plan.limit = t.millis("limit_ms", std::nullopt);
+    if (plan.limit < verb.goal || verb.goal < kMillisecond) t.fail("goal_ms", "is not from 1 to limit_ms");
+    verb.utility = t.real("utility", 1.0);
+    verb.lateUtility = t.part("late_utility", 0.0);
+    plan.share = t.real("share", std::nullopt);
+    plan.work = t.micros("work_us", std::nullopt);
+    plan.spread = t.real("spread", 0.0, 0, 10);
+    plan.write = t.yes("write", verb.effect != Effect::pure);
+    for (const VerbPlan& other : s.verbs)
+        if (other.verb.name == verb.name) t.fail("name", "is another verb's too");
+    s.verbs.push_back(std::move(plan));
+}
+
+void readFault(Table& t, Scenario& s) {
+    FaultPlan f;
+    f.kind = t.word("kind", faultNames(), std::optional<FaultKind>{});
+    f.at = t.millis("at_ms", std::nullopt);
+    f.length = t.millis("for_ms", 0.0);
+    f.times = t.whole("times", 1, 1, 1000);
+    if (f.at + f.length > s.length) t.fail("at_ms", "the fault ends after the scenario does");
+    switch (f.kind) {
+        case FaultKind::cut:
+            f.zone = t.text("zone", std::nullopt);
+            if (std::find(s.network.zones.begin(), s.network.zones.end(), f.zone) == s.network.zones.end())
+                t.fail("zone", fmt::format("'{}' is not a zone of the network", f.zone));
+            break;
+        case FaultKind::crash:
+        case FaultKind::hang:
+        case FaultKind::replace:
+        case FaultKind::drain:
+        case FaultKind::refuse:
+        case FaultKind::deaf:
+            f.count = t.whole("count", 1, 1, s.cacheCount());
+            break;
+        case FaultKind::slow:
+        case FaultKind::slowReader:
+            f.count = t.whole("count", 1, 1, s.cacheCount());
+            f.by = t.real("by", std::nullopt);
+            break;
+        case FaultKind::errors:
+        case FaultKind::reset:
+            f.count = t.whole("count", 1, 1, s.cacheCount());
+            f.by = t.part("by", std::nullopt);
+            break;
+        case FaultKind::spoil:
+        case FaultKind::hotKey:
+        case FaultKind::heavy:
+        case FaultKind::scan:
+            f.by = t.part("by", std::nullopt);
+            break;
+        case FaultKind::originSlow:
+        case FaultKind::load:
+            f.by = t.real("by", std::nullopt, 0.01, 1000);
+            break;
+        case FaultKind::routerKill:
+            f.count = t.whole("count", 1, 1, s.routers.count);
+            break;
+        default:
+            break;
+    }
+    s.faults.push_back(std::move(f));
+}
+
+void readCaches(Table& t, Scenario& s) {
+    CachePlan c;
+    c.name = t.text("name", std::nullopt);
+    c.count = t.whole("count", std::nullopt, 1, 200);
+    c.cores = t.real("cores", 4.0, 1, 1024);
+    c.speed = t.real("speed", 1.0, 0.001, 1000);
+    c.queue = t.whole("queue", 12);
+    c.keys = t.whole("keys", 20'000, 1);
+    c.connections = t.whole("connections", 2'000, 1);
+    c.handshake = t.micros("handshake_us", 300.0);
+    c.errors = t.part("errors", 0.0);
+    s.caches.push_back(std::move(c));
+}
+
+void readLoad(Table& t, LoadPlan& l) {
+    using Shape = LoadPlan::Shape;
+    l.perSecond = t.real("per_second", std::nullopt, 0.1, 1e6);
+    l.shape = t.word<Shape>("shape",
+                            {{"steady", Shape::steady},
+                             {"bursty", Shape::bursty},
+                             {"ramp", Shape::ramp},
+                             {"wave", Shape::wave}},
+                            Shape::steady);
+    l.swing = t.part("swing", l.shape == Shape::steady ? 0.0 : 0.3);
+    l.period = std::max<Nanos>(t.millis("period_ms", 5'000.0), kMillisecond);
+    l.keys = t.whole("keys", 5'000, 1);
+    l.zipf = t.real("zipf", 1.0, 0, 5);
+    l.drift = t.part("drift", 0.0);
+    l.tries = t.whole("tries", 2, 1, 10);
+    l.backoff = t.millis("backoff_ms", 50.0);
+    l.impatient = t.part("impatient", 0.0);
+}
+
+Scenario scenarioOf(Table& t) {
+    Scenario s;
+    s.name = t.text("name", std::nullopt);
+    s.about = t.text("about", "");
+    s.length = t.millis("length_ms", std::nullopt);
+    if (s.length < 100 * kMillisecond) t.fail("length_ms", "is under 100");
+    s.drainGrace = t.millis("drain_grace_ms", 500.0);
+    s.slack = t.millis("slack_ms", 100.0);
+    t.one("routers", true, [&](Table& r) {
+        s.routers.count = r.whole("count", std::nullopt, 1, 1000);
+        s.routers.memoryMb = static_cast<std::size_t>(r.whole("memory_mb", 64, 16, 100'000));
+        s.routers.descriptors = static_cast<std::size_t>(r.whole("descriptors", 512, 64, 100'000));
+        s.routers.open = static_cast<std::size_t>(r.whole("open", 20'000, 1));
+        s.routers.relays = r.whole("relays", 3, 1, 100);
+        s.routers.connectWithin = r.millis("connect_ms", 200.0);
+        s.routers.idle = r.millis("idle_ms", 15'000.0);
+        s.routers.notice = r.millis("notice_ms", 1'500.0);
+        s.routers.restart = r.millis("restart_ms", 1'500.0);
+        s.routers.mostComeBack = r.millis("come_back_ms", 2'000.0);
+    });
+    t.one("network", true, [&](Table& n) {
+        s.network.zones = n.texts("zones");
+        if (s.network.zones.empty()) n.fail("zones", "names none");
+        s.network.same = n.micros("same_us", 250.0);
+        s.network.cross = n.micros("cross_us", 5'000.0);
+        s.network.jitter = n.part("jitter", 0.2);
+    });
+    t.each("caches", true, [&](Table& c) { readCaches(c, s); });
+    if (s.caches.empty()) t.fail("caches", "there is none");
+    if (s.cacheCount() > 240) t.fail("caches", "there are over 240 in all");
+    t.one("cold", false, [&](Table& c) {
+        s.cold.share = c.real("share", 0.35, 0.01, 1);
+        s.cold.ramp = c.millis("ramp_ms", 5'000.0);
+        s.cold.tip = c.real("tip", 4.0, 1, 100);
+        s.cold.fallSpan = c.millis("fall_ms", 1'500.0);
+        s.cold.down = c.millis("down_ms", 5'000.0);
+    });
+    t.one("origin", true, [&](Table& o) {
+        s.origin.cores = o.real("cores", std::nullopt, 1, 10'000);
+        s.origin.speed = o.real("speed", 1.0, 0.001, 1000);
+        s.origin.queue = o.whole("queue", 200);
+        s.origin.connections = o.whole("connections", 5'000, 1);
+        s.origin.thrash = o.real("thrash", 0.1, 0, 100);
+        s.origin.tip = o.real("tip", 2.5, 0, 100);
+        s.origin.stopped = o.millis("stopped_ms", 3'000.0);
+        s.origin.readWork = o.real("read_work", 1.0, 0.001, 1000);
+    });
+    t.one("discovery", false, [&](Table& d) {
+        s.discovery.noticeGone = d.millis("notice_gone_ms", 1'500.0);
+        s.discovery.noticeBack = d.millis("notice_back_ms", 600.0);
+        s.discovery.perSecond = d.real("per_second", 200.0, 0.1, 1e6);
+        s.discovery.limit = d.millis("limit_ms", 3'000.0);
+        s.discovery.askWithin = d.millis("ask_within_ms", 10'000.0);
+    });
+    t.one("load", true, [&](Table& l) { readLoad(l, s.load); });
+    t.each("verbs", true, [&](Table& v) { readVerb(v, s); });
+    double shares = 0;
+    for (const VerbPlan& v : s.verbs) shares += v.share;
+    if (shares <= 0) t.fail("verbs", "their shares add up to nothing");
+    t.each("customers", false, [&](Table& c) {
+        s.customers.push_back({c.text("name", std::nullopt), c.real("share", std::nullopt),
+                               c.real("quota", std::nullopt)});
+    });
+    double customers = 0;
+    for (const CustomerPlan& c : s.customers) customers += c.share;
+    if (!s.customers.empty() && customers <= 0) t.fail("customers", "their shares add up to nothing");
+    t.each("faults", false, [&](Table& f) { readFault(f, s); });
+    t.one("holds", false, [&](Table& h) {
+        s.bounds.goal = h.part("goal", 0.0);
+        s.bounds.answered = h.part("answered", 0.0);
+        s.bounds.relays = h.real("relays", 1e9);
+        s.bounds.originMean = h.real("origin_mean", 1e9);
+    });
+    t.finish();
+    return s;
+}
+
+template <class T>
+std::string_view wordFor(const std::vector<std::pair<T, std::string_view>>& words, T value) {
+    for (const auto& [at, name] : words)
+        if (at == value) return name;
+    return "";
+}
+
+}  // namespace
+
+int Scenario::cacheCount() const {
+    int n = 0;
+    for (const CachePlan& c : caches) n += c.count;
+    return n;
+}
+
+Nanos Scenario::longestLimit() const {
+    Nanos longest = 0;
+    for (const VerbPlan& v : verbs) longest = std::max(longest, v.limit);
+    return longest;
+}
+
+std::string_view nameOf(FaultKind kind) {
+    for (const auto& [name, value] : faultNames())
+        if (value == kind) return name;
+    return "";
+}
+
+Scenario parseScenario(std::string_view text, const std::string& path) {
+    try {
+        const toml::table table = toml::parse(text, path);
+        Table top(table, path, "");
+        return scenarioOf(top);
+    } catch (const toml::parse_error& problem) {
+        throw BadScenario(fmt::format("{}:{}: {}", path, problem.source().begin.line, problem.description()));
+    }
+}
+
+Scenario readScenario(const std::string& path) {
+    std::ifstream file(path, std::ios::binary);
+    const std::string text{std::istreambuf_iterator<char>(file), {}};
+    if (!file) throw BadScenario(path + ":1: can't be read");
+    return parseScenario(text, path);
+}
+
+Terms termsOf(const Scenario& s, std::uint64_t seed) {
+    Terms t;
+    t.seed = seed;
+    t.routers = s.routers.count;
+    t.aside = true;
+    t.originShape = "origin";
+    t.listOnRequest = true;
+    t.comeBackAllowed = s.routers.mostComeBack > 0;
+    t.maxRelays = s.routers.relays;
+    t.maxComeBack = s.routers.mostComeBack;
+    t.askWithin = s.discovery.askWithin;
+    t.startShare = s.cold.share;
+    t.ramp = s.cold.ramp;
+    t.tipMultiple = s.cold.tip;
+    t.fallSpan = s.cold.fallSpan;
+    for (const VerbPlan& v : s.verbs) t.verbs.push_back(v.verb);
+    for (const CustomerPlan& c : s.customers) t.customers.push_back({c.name, c.quota});
+    return t;
+}
+
+nlohmann::json configurationOf(const Scenario& s, const RouterPlace& place, std::uint64_t seed,
+                               const nlohmann::json& known) {
+    using nlohmann::json;
+    const auto us = [](Nanos ns) { return ns / 1000; };
+    json verbs = json::array();
+    for (const VerbPlan& v : s.verbs) {
+        json one{{"name", v.verb.name},
+                 {"effect", wordFor<Effect>({{Effect::pure, "free"},
+                                             {Effect::receipted, "guarded"},
+                                             {Effect::effectful, "single_shot"}},
+                                            v.verb.effect)},
+                 {"responseGoalUs", us(v.verb.goal)},
+                 {"timeLimitUs", us(v.limit)},
+                 {"utility", v.verb.utility},
+                 {"lateUtility", v.verb.lateUtility}};
+        if (v.verb.effect == Effect::receipted) {
+            one["group"] = wordFor<Group>(
+                {{Group::all, "all"}, {Group::zone, "zone"}, {Group::cell, "cell"}}, v.verb.group);
+            one["keyTtlUs"] = us(v.verb.remembered);
+        }
+        verbs.push_back(std::move(one));
+    }
+    json customers = json::array();
+    for (const CustomerPlan& c : s.customers) customers.push_back({{"name", c.name}, {"quotaPerS", c.quota}});
+    json settings{{"replicasOfMe", s.routers.count},
+                  {"membershipMode", "on_request"},
+                  {"shapes", {"cache", "origin"}},
+                  {"familyInfo", {{"mode", "aside"}, {"originKind", 1}}},
+                  {"allowed",
+                   {{"connIdleUs", us(s.routers.idle)},
+                    {"connectTimeoutUs", us(s.routers.connectWithin)},
+                    {"maxOpen", s.routers.open},
+                    {"maxRelays", s.routers.relays},
+                    {"maxRetryAfterUs", us(s.routers.mostComeBack)},
+                    {"retryAfter", s.routers.mostComeBack > 0}}},
+                  {"rules",
+                   {{"askWithinUs", us(s.discovery.askWithin)},
+                    {"fallUs", us(s.cold.fallSpan)},
+                    {"rampTimeUs", us(s.cold.ramp)},
+                    {"startCapacity", s.cold.share},
+                    {"tipMultiple", s.cold.tip}}},
+                  {"verbs", std::move(verbs)}};
+    if (!customers.empty()) settings["orgs"] = std::move(customers);
+    return {{"name", place.name},
+            {"listen", place.listen},
+            {"discovery", place.discovery},
+            {"seed", fmt::format("{:016x}", seed)},
+            {"limits",
+             {{"cores", 1.0}, {"memory_mb", s.routers.memoryMb}, {"sockets", s.routers.descriptors}}},
+            {"known", known},
+            {"settings", std::move(settings)}};
+}
+
+}  // namespace poppyscale::lab
--- /dev/null
+++ b/src/lab/scenario.hpp
@@ -0,0 +1,190 @@
+// A scenario: the deployment, the load, the faults and what must hold, as the TOML files in scenarios/ say it.
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "logic.hpp"
+
+namespace poppyscale::lab {
+
+// What can't be played; its text is "FILE:LINE: KEY: what is wrong".
+struct BadScenario : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+struct VerbPlan {
+    Verb verb;
+    Nanos limit = 0;  // how long a client waits in all
+    double share = 0;
+    Nanos work = 0;  // on one core of speed 1, the mean
+    double spread = 0;
+    bool write = false;
+};
+
+struct CustomerPlan {
+    std::string name;
+    double share = 0;
+    double quota = 0;  // commands a second
+};
+
+// Of one kind: they are dealt to the zones in turn.
+struct CachePlan {
+    std::string name;
+    int count = 0;
+    double cores = 1;
+    double speed = 1;
+    int queue = 0;  // commands that may wait beside those that run
+    int keys = 0;   // kept, the one used longest ago goes first
+    int connections = 0;
+    Nanos handshake = 0;  // work of a new connection
+    double errors = 0;    // share of commands that fail on any day
+};
+
+struct OriginPlan {
+    double cores = 1;
+    double speed = 1;
+    int queue = 0;
+    int connections = 0;
+    double thrash = 0;    // added to a command's time for each full queue ahead of it, as a share
+    double tip = 0;       // times its capacity over `fallSpan`, then it stops; 0: never
+    Nanos stopped = 0;    // for this long
+    double readWork = 1;  // of a fetch, times the verb's own work
+};
+
+struct ColdPlan {
+    double share = 1;  // of its capacity that a cache starts with
+    Nanos ramp = 0;
+    double tip = 1;
+    Nanos fallSpan = 0;
+    Nanos down = 0;  // how long it stays down after falling
+};
+
+struct DiscoveryPlan {
+    Nanos noticeGone = 0;
+    Nanos noticeBack = 0;
+    double perSecond = 0;  // calls it can answer
+    Nanos limit = 0;       // a call that waits longer for its turn fails
+    Nanos askWithin = 0;
+};
+
+struct NetworkPlan {
+    std::vector<std::string> zones;
+    Nanos same = 0;   // one way, within a zone
+    Nanos cross = 0;  // between zones
+    double jitter = 0;
+};
+
+struct LoadPlan {
+    enum class Shape : std::uint8_t { steady, bursty, ramp, wave };
+    double perSecond = 0;  // at the mean
+    Shape shape = Shape::steady;
+    double swing = 0;  // share of the mean by which it goes up and down
+    Nanos period = 0;
+    int keys = 1;
+    double zipf = 1;
+    double drift = 0;  // of the keys that change places each second, as a share
+    int tries = 1;
+    Nanos backoff = 0;
+    double impatient = 0;  // share of commands whose client leaves halfway
+};
+
+struct RouterPlan {
+    int count = 1;
+    std::size_t memoryMb = 64;
+    std::size_t descriptors = 512;
+    std::size_t open = 0;
+    int relays = 1;
+    Nanos connectWithin = 0;
+    Nanos idle = 0;
+    Nanos notice = 0;   // in which the front sees that one has died
+    Nanos restart = 0;  // in which a killed one is back
+    Nanos mostComeBack = 0;
+};
+
+enum class FaultKind : std::uint8_t {
+    crash,          // caches die; connections reset, then refused; back cold under their id
+    hang,           // caches take and never answer
+    slow,           // caches run `by` times slower
+    errors,         // a share `by` of what caches are sent fails at once
+    replace,        // caches go for good, new ones come cold at the old address under new ids
+    drain,          // caches are told to drain, then leave; back after
+    cut,            // `zone` is silent to the routers of all others
+    refuse,         // caches refuse new connections
+    reset,          // a share `by` of commands has its connection reset while it is out
+    slowReader,     // commands reach caches later by `by` ms
+    deaf,           // one direction only: commands arrive, answers are lost
+    spoil,          // a share `by` of answers is noise
+    originStop,     // the origin dies and comes back
+    originSlow,     // runs `by` times slower
+    discoveryDown,  // calls fail
+    discoverySilent,
+    discoveryMove,  // to another address, the routers get SIGHUP
+    hotKey,         // a share `by` of commands asks for one key
+    heavy,          // a share `by` of commands has ten times the work
+    scan,           // a share `by` of commands asks for keys never seen before
+    load,           // the load times `by`
+    routerKill,     // SIGKILL to `count` routers, restarted
+    routerRestart,  // SIGTERM to all, one after the other
+    reload          // SIGHUP to all
+};
+
+struct FaultPlan {
+    FaultKind kind = FaultKind::crash;
+    Nanos at = 0;
+    Nanos length = 0;
+    int count = 1;  // caches or routers, drawn by the seed
+    double by = 0;
+    std::string zone;
+    int times = 1;  // again, spread over `length`
+};
+
+struct Bounds {
+    double goal = 0;        // share of commands answered within their goal, at least
+    double answered = 0;    // within their limit
+    double relays = 1e9;    // a command, at most
+    double originMean = 1e9;  // fetches and writes a second at the origin over its capacity, at most
+};
+
+struct Scenario {
+    std::string name;
+    std::string about;
+    Nanos length = 0;
+    Nanos drainGrace = 0;
+    Nanos slack = 0;  // after a client's limit that an answer still counts
+    RouterPlan routers;
+    NetworkPlan network;
+    std::vector<CachePlan> caches;
+    ColdPlan cold;
+    OriginPlan origin;
+    DiscoveryPlan discovery;
+    LoadPlan load;
+    std::vector<VerbPlan> verbs;
+    std::vector<CustomerPlan> customers;
+    std::vector<FaultPlan> faults;
+    Bounds bounds;
+
+    int cacheCount() const;
+    Nanos longestLimit() const;
+};
+
+// Throws BadScenario.
+Scenario readScenario(const std::string& path);
+Scenario parseScenario(std::string_view text, const std::string& path);
+
+std::string_view nameOf(FaultKind kind);
+
+// What the module is told of a scenario, and the same as the configuration that the program reads.
+Terms termsOf(const Scenario& scenario, std::uint64_t seed);
+struct RouterPlace {
+    std::string name;
+    std::string listen;
+    std::string discovery;
+};
+nlohmann::json configurationOf(const Scenario& scenario, const RouterPlace& place, std::uint64_t seed,
+                               const nlohmann::json& known);
+
+}  // namespace poppyscale::lab
--- /dev/null
+++ b/src/lab/world.cpp
@@ -0,0 +1,885 @@
+#include "lab/world.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <numeric>
+#include <set>
+
+namespace poppyscale::lab {
+namespace {
+
+constexpr double kMissWork = 0.25;   // of a read's work, where the key isn't there
+constexpr double kHeavyFactor = 10;  // of what a fault makes heavy
+constexpr std::size_t kRemembered = 1 << 18;
+constexpr Nanos kFrontSeesTerm = 300 * kMillisecond;
+
+std::size_t nth(int index) { return static_cast<std::size_t>(index); }
+
+}  // namespace
+
+// What a server's process is and what ails it.
+struct World::Host {
+    Host(const Machine::Shape& shape, std::size_t keys, Nanos span) : machine(shape), kept(keys), drive(span) {}
+    Machine machine;
+    Kept kept;
+    Drive drive;
+    Life life = Life::up;
+    bool draining = false;
+    bool refuses = false;
+    bool deaf = false;
+    double slow = 1;
+    double errors = 0;  // at once, by a fault
+    double resets = 0;
+    Nanos readsLater = 0;
+    int connections = 0;
+    std::uint64_t lives = 0;  // so that what was to happen to an earlier one doesn't
+};
+
+World::World(const Scenario& scenario, std::uint64_t seed, Ledger& ledger, Driver& driver)
+    : scenario_(scenario),
+      ledger_(ledger),
+      driver_(driver),
+      arrivals_(seed * 5 + 1),
+      keys_(seed * 5 + 2),
+      net_(seed * 5 + 3),
+      service_(seed * 5 + 4),
+      faults_(seed * 5 + 5),
+      zipf_(scenario.load.keys, scenario.load.zipf) {
+    ledger_.head(head(seed));
+    const auto& zones = scenario_.network.zones;
+    Server origin;
+    origin.name = "origin";
+    origin.zone = zones[0];
+    origin.origin = true;
+    origin.speed = scenario_.origin.speed;
+    occupants_.push_back(0);
+    addServer(std::move(origin), 0, false);
+    int dealt = 0;
+    for (const CachePlan& plan : scenario_.caches)
+        for (int i = 0; i < plan.count; ++i, ++dealt) {
+            Server s;
+            s.name = fmt::format("{}-{}", plan.name, i);
+            s.door = static_cast<int>(occupants_.size());
+            s.zone = zones[nth(dealt) % zones.size()];
+            s.cell = dealt / 8;
+            s.plan = &plan;
+            s.speed = plan.speed;
+            occupants_.push_back(static_cast<int>(servers_.size()));
+            addServer(std::move(s), 0, false);
+        }
+    for (int r = 0; r < scenario_.routers.count; ++r) {
+        routers_.emplace_back();
+        routers_.back().zone = zones[nth(r) % zones.size()];
+    }
+    order_.resize(nth(scenario_.load.keys));
+    std::iota(order_.begin(), order_.end(), 0);
+}
+
+World::~World() = default;
+
+void World::log(Nanos now, What what, std::uint64_t command, int router, int server, std::uint64_t run,
+                std::int64_t number, std::string text) {
+    ledger_.add({now, what, command, router, server, run, number, std::move(text)});
+}
+
+nlohmann::json World::head(std::uint64_t seed) const {
+    using nlohmann::json;
+    json verbs = json::array();
+    for (const VerbPlan& v : scenario_.verbs)
+        verbs.push_back({{"name", v.verb.name},
+                         {"effect", static_cast<int>(v.verb.effect)},
+                         {"group", static_cast<int>(v.verb.group)},
+                         {"remembered", v.verb.remembered},
+                         {"goal", v.verb.goal},
+                         {"limit", v.limit},
+                         {"utility", v.verb.utility},
+                         {"late", v.verb.lateUtility},
+                         {"write", v.write}});
+    return {{"scenario", scenario_.name},
+            {"seed", seed},
+            {"length", scenario_.length},
+            {"slack", scenario_.slack},
+            {"grace", scenario_.drainGrace},
+            {"routers", scenario_.routers.count},
+            {"cold",
+             {{"share", scenario_.cold.share},
+              {"ramp", scenario_.cold.ramp},
+              {"tip", scenario_.cold.tip},
+              {"span", scenario_.cold.fallSpan}}},
+            {"originTip", scenario_.origin.tip},
+            {"bounds",
+             {{"goal", scenario_.bounds.goal},
+              {"answered", scenario_.bounds.answered},
+              {"relays", scenario_.bounds.relays},
+              {"origin_mean", scenario_.bounds.originMean}}},
+            {"verbs", std::move(verbs)}};
+}
+
+void World::addServer(Server server, Nanos now, bool cold) {
+    Machine::Shape shape;
+    if (server.origin)
+        shape = {scenario_.origin.cores, scenario_.origin.speed, scenario_.origin.queue, scenario_.origin.thrash};
+    else
+        shape = {server.plan->cores, server.plan->speed, server.plan->queue, 0};
+    const std::size_t keys = server.origin ? 1 : nth(server.plan->keys);
+    server.startedAt = cold ? now : 0;
+    const auto index = static_cast<int>(servers_.size());
+    hosts_.push_back(std::make_unique<Host>(shape, keys, std::max<Nanos>(scenario_.cold.fallSpan, 1)));
+    log(now, What::server, 0, -1, index, 0, server.startedAt,
+        fmt::format("{} {} {} {} {}", server.name, server.zone, server.cell, server.origin ? "origin" : "cache",
+                    shape.cores * shape.speed));
+    lines_.push_back({index, cold ? Presence::gone : Presence::ready, server.startedAt});
+    servers_.push_back(std::move(server));
+}
+
+std::optional<int> World::serverNamed(const std::string& name) const {
+    for (std::size_t i = servers_.size(); i-- > 0;)
+        if (servers_[i].name == name) return static_cast<int>(i);
+    return std::nullopt;
+}
+
+void World::begin(Nanos now) {
+    beganAt_ = now;
+    for (const FaultPlan& f : scenario_.faults) plan(f);
+    agenda_.put(now + arrivals_.gap(rateAt(now)), [this](Nanos t) { arrive(t); });
+    agenda_.put(now + scenario_.length, [this](Nanos) { allAsked_ = true; });
+}
+
+bool World::over(Nanos now) const { return allAsked_ && open_.empty() && now > beganAt_ + scenario_.length; }
+
+// ---- clients
+
+double World::rateAt(Nanos now) {
+    using Shape = LoadPlan::Shape;
+    const LoadPlan& l = scenario_.load;
+    const double t = static_cast<double>(now - beganAt_);
+    double part = 0;
+    switch (l.shape) {
+        case Shape::steady:
+            break;
+        case Shape::bursty:
+            part = std::fmod(t, static_cast<double>(l.period)) < static_cast<double>(l.period) / 4 ? 3 : -1;
+            break;
+        case Shape::ramp:
+            part = 2 * t / static_cast<double>(scenario_.length) - 1;
+            break;
+        case Shape::wave:
+            part = std::sin(2 * M_PI * t / static_cast<double>(l.period));
+            break;
+    }
+    return l.perSecond * now_.load * std::max(1 + l.swing * part, 0.02);
+}
+
+std::string World::drawKey(Nanos now) {
+    const LoadPlan& l = scenario_.load;
+    // Places that change hands: as many as are due by now.
+    const auto due = static_cast<int>(l.drift * l.keys * static_cast<double>(now - beganAt_) / 1e9);
+    for (; drifted_ < due; ++drifted_) std::swap(order_[nth(keys_.below(l.keys))], order_[nth(keys_.below(l.keys))]);
+    const int rank = zipf_.draw(keys_);
+    const double which = keys_.part();
+    if (which < now_.hotKey) return "hot";
+    if (which < now_.hotKey + now_.scan) return fmt::format("scan{}", ++lastScan_);
+    return fmt::format("k{}", order_[nth(rank)]);
+}
+
+int World::pickRouter() {
+    std::vector<int> believed;
+    for (std::size_t r = 0; r < routers_.size(); ++r)
+        if (routers_[r].believed) believed.push_back(static_cast<int>(r));
+    if (believed.empty()) return net_.below(static_cast<int>(routers_.size()));
+    return believed[nth(net_.below(static_cast<int>(believed.size())))];
+}
+
+void World::arrive(Nanos now) {
+    if (now >= beganAt_ + scenario_.length) return;
+    agenda_.put(now + arrivals_.gap(rateAt(now)), [this](Nanos t) { arrive(t); });
+    Ask a;
+    a.verb = arrivals_.among(scenario_.verbs, [](const VerbPlan& v) { return v.share; });
+    if (!scenario_.customers.empty())
+        a.customer = arrivals_.among(scenario_.customers, [](const CustomerPlan& c) { return c.share; });
+    const VerbPlan& verb = scenario_.verbs[nth(a.verb)];
+    a.key = drawKey(now);
+    a.work = static_cast<double>(verb.work) * arrivals_.factor(verb.spread);
+    if (arrivals_.yes(now_.heavy)) a.work *= kHeavyFactor;
+    if (verb.verb.effect == Effect::receipted) a.mark = fmt::format("{:016x}", arrivals_.word());
+    a.id = a.first = arrivals_.word();
+    a.dueAt = now;
+    a.giveUpAt = a.firstLimit = now + verb.limit;
+    const bool impatient = arrivals_.yes(scenario_.load.impatient);
+    a.router = pickRouter();
+    const CommandId id = a.id;
+    const Nanos half = now + verb.limit / 2;
+    ask(now, std::move(a));
+    if (impatient)
+        agenda_.put(half, [this, id](Nanos t) {
+            const auto it = open_.find(id);
+            if (it == open_.end()) return;
+            const int router = it->second.router;
+            log(t, What::left, id, router, -1, 0, 0);
+            open_.erase(it);
+            driver_.leave(router, id);
+        });
+}
+
+void World::ask(Nanos now, Ask a) {
+    const CommandId id = a.id;
+    const std::string customer = a.customer < 0 ? "-" : scenario_.customers[nth(a.customer)].name;
+    log(now, What::asked, id, a.router, -1, static_cast<std::uint64_t>(a.dueAt), a.giveUpAt,
+        fmt::format("{} {} {} {:x} {}", scenario_.verbs[nth(a.verb)].verb.name, customer, a.key, a.first, a.tries));
+    works_[id] = a.work;
+    remembered_.push_back(id);
+    if (remembered_.size() > kRemembered) {
+        works_.erase(remembered_.front());
+        lacking_.erase(remembered_.front());
+        remembered_.pop_front();
+    }
+    agenda_.put(a.giveUpAt + scenario_.slack, [this, id](Nanos t) {
+        const auto it = open_.find(id);
+        if (it == open_.end()) return;
+        const int router = it->second.router;
+        log(t, What::silent, id, router, -1, 0, 0);
+        open_.erase(it);
+        driver_.leave(router, id);
+    });
+    const Ask& kept = open_[id] = std::move(a);
+    driver_.ask(kept);
+}
+
+void World::told(Nanos now, CommandId id, Told how, const std::string& token, Nanos comeBack) {
+    const auto it = open_.find(id);
+    if (it == open_.end()) {
+        // A second final answer, or one to nobody: the audit says which.
+        static constexpr What whats[] = {What::answered, What::declined, What::terminated};
+        if (how != Told::unsent && works_.contains(id))
+            log(now, whats[static_cast<int>(how)], id, -1, -1, 0, comeBack, token);
+        return;
+    }
+    const Ask ask = std::move(it->second);
+    open_.erase(it);
+    switch (how) {
+        case Told::answered:
+            return log(now, What::answered, id, ask.router, -1, 0, 0, token);
+        case Told::declined:
+            log(now, What::declined, id, ask.router, -1, 0, comeBack);
+            return tryAgain(now, ask, std::max(comeBack, scenario_.load.backoff << (ask.tries - 1)));
+        case Told::terminated:
+            log(now, What::terminated, id, ask.router, -1, 0, 0);
+            // Nobody can say whether it ran: only what may run twice is asked again.
+            if (scenario_.verbs[nth(ask.verb)].verb.effect == Effect::pure)
+                tryAgain(now, ask, scenario_.load.backoff << (ask.tries - 1));
+            return;
+        case Told::unsent:
+            log(now, What::unsent, id, ask.router, -1, 0, 0);
+            if (token.empty() || scenario_.verbs[nth(ask.verb)].verb.effect == Effect::pure)
+                tryAgain(now, ask, kMillisecond);
+            return;
+    }
+}
+
+void World::tryAgain(Nanos now, const Ask& last, Nanos after) {
+    if (last.tries >= scenario_.load.tries) return;
+    const auto wait = static_cast<Nanos>(static_cast<double>(after) * (0.75 + 0.5 * net_.part()));
+    const VerbPlan& verb = scenario_.verbs[nth(last.verb)];
+    if (now + wait + verb.limit / 20 > last.firstLimit) return;
+    agenda_.put(now + wait, [this, last](Nanos t) {
+        Ask a = last;
+        a.id = net_.word();
+        ++a.tries;
+        a.router = pickRouter();
+        ask(t, std::move(a));
+    });
+}
+
+// ---- connections and relays
+
+Nanos World::delay(const std::string& from, const std::string& to) {
+    const Nanos mean = from == to ? scenario_.network.same : scenario_.network.cross;
+    return static_cast<Nanos>(static_cast<double>(mean) * net_.factor(scenario_.network.jitter));
+}
+
+bool World::passes(int router, int server) const {
+    if (now_.cutZone.empty()) return true;
+    return (routers_[nth(router)].zone == now_.cutZone) == (servers_[nth(server)].zone == now_.cutZone);
+}
+
+Door World::doorNow(int router, int door) const {
+    const int server = occupants_[nth(door)];
+    const Host& host = *hosts_[nth(server)];
+    if (!passes(router, server)) return Door::silent;
+    return host.life == Life::down || host.life == Life::gone || host.refuses ? Door::refused : Door::open;
+}
+
+void World::lookAtDoors(Nanos) {
+    for (int r = 0; r < scenario_.routers.count; ++r)
+        for (int d = 0; d < doors(); ++d) driver_.door(r, d, doorNow(r, d));
+}
+
+ConnId World::connect(Nanos now, int router, int door) {
+    const int server = occupants_[nth(door)];
+    Host& host = *hosts_[nth(server)];
+    const ConnId id = ++lastConn_;
+    const Server& s = servers_[nth(server)];
+    const int most = s.origin ? scenario_.origin.connections : s.plan->connections;
+    Door state = doorNow(router, door);
+    if (state == Door::open && host.connections >= most) state = Door::refused;
+    if (state == Door::open) {
+        conns_[id] = {id, router, server, false, 0, {}};
+        ++host.connections;
+        if (!s.origin) host.machine.extra(static_cast<double>(s.plan->handshake));
+    }
+    if (state == Door::silent) return id;
+    const std::string& zone = routers_[nth(router)].zone;
+    const Nanos trip = delay(zone, s.zone) + delay(s.zone, zone);
+    agenda_.put(now + trip, [this, id, up = state == Door::open](Nanos) {
+        const auto it = conns_.find(id);
+        if (it != conns_.end()) it->second.up = true;
+        if (!up || it != conns_.end()) driver_.opened(id, up);
+    });
+    return id;
+}
+
+void World::closed(Nanos now, ConnId id) {
+    const auto it = conns_.find(id);
+    if (it == conns_.end()) return;
+    Host& host = *hosts_[nth(it->second.server)];
+    --host.connections;
+    for (const auto& owed : it->second.owed) {
+        const auto run = runs_.find(owed.run);
+        if (run == runs_.end()) continue;
+        log(now, What::closed, run->second.call.command, it->second.router, run->second.server, owed.run, 0);
+        // What only waited there is dropped; what runs goes on, and so does what is still on its way.
+        if (host.machine.withdraw(owed.run)) runs_.erase(run);
+    }
+    conns_.erase(it);
+}
+
+void World::call(Nanos now, ConnId id, const Call& call) {
+    const auto it = conns_.find(id);
+    if (it == conns_.end()) return;
+    Conn& conn = it->second;
+    const Server& s = servers_[nth(conn.server)];
+    Host& host = *hosts_[nth(conn.server)];
+    RunOut out;
+    out.run = ++lastRun_;
+    out.conn = id;
+    out.call = call;
+    out.server = conn.server;
+    const auto work = works_.find(call.command);
+    out.work = work != works_.end() ? work->second : static_cast<double>(scenario_.verbs[0].work);
+    if (s.origin && !call.write) out.work *= scenario_.origin.readWork;
+    const std::uint64_t run = out.run;
+    log(now, What::sent, call.command, conn.router, conn.server, run, static_cast<std::int64_t>(out.work));
+    runs_[run] = std::move(out);
+    conn.owed.push_back({run, std::nullopt});
+    if (!passes(conn.router, conn.server)) return;
+    conn.lastArrival = std::max(conn.lastArrival,
+                                now + delay(routers_[nth(conn.router)].zone, s.zone) + host.readsLater);
+    const std::uint64_t life = host.lives;
+    agenda_.put(conn.lastArrival, [this, run, life](Nanos t) {
+        const auto found = runs_.find(run);
+        if (found != runs_.end() && hosts_[nth(found->second.server)]->lives == life) arrived(t, run);
+    });
+    if (service_.yes(host.resets))
+        agenda_.put(conn.lastArrival + static_cast<Nanos>(runs_[run].work / 2 / s.speed),
+                    [this, id](Nanos t) { breakOne(t, id); });
+}
+
+void World::arrived(Nanos now, std::uint64_t run) {
+    RunOut& out = runs_.at(run);
+    const Server& s = servers_[nth(out.server)];
+    Host& host = *hosts_[nth(out.server)];
+    if (host.life != Life::up) return;
+    if (host.draining) return say(now, run, {Reply::Kind::busy, {}});
+    if (service_.yes(host.errors)) return say(now, run, {Reply::Kind::error, {}});
+    if (!s.origin && !out.call.write && !(out.hit = host.kept.use(out.call.key))) out.work *= kMissWork;
+
+    const double pace = paceOf(now, s.startedAt, scenario_.cold.share, scenario_.cold.ramp);
+    host.drive.add(now, out.work);
+    const double bearable =
+        host.machine.capacity() * static_cast<double>(std::max<Nanos>(scenario_.cold.fallSpan, 1));
+    const bool cold = !s.origin && s.startedAt > 0 && now - s.startedAt < scenario_.cold.ramp;
+    const double tip = s.origin ? scenario_.origin.tip : cold ? scenario_.cold.tip * pace : 0;
+    if (tip > 0 && host.drive.sum(now) > tip * bearable) {
+        const int server = out.server;
+        log(now, What::fell, 0, -1, server, 0, 0);
+        die(now, server);
+        if (!s.origin) change(now, server, Presence::gone, scenario_.discovery.noticeGone);
+        agenda_.put(now + (s.origin ? scenario_.origin.stopped : scenario_.cold.down),
+                    [this, server](Nanos t) { revive(t, server); });
+        return;
+    }
+    if (host.machine.full()) return say(now, run, {Reply::Kind::busy, {}});
+    host.machine.take(run, out.work);
+    serve(now, out.server);
+}
+
+void World::serve(Nanos now, int server) {
+    Host& host = *hosts_[nth(server)];
+    if (host.life != Life::up) return;
+    const Server& s = servers_[nth(server)];
+    const double pace =
+        paceOf(now, s.startedAt, s.origin ? 1 : scenario_.cold.share, scenario_.cold.ramp) / host.slow;
+    for (const Machine::Begun& begun : host.machine.begin(now, pace)) {
+        RunOut& out = runs_.at(begun.job);
+        out.begun = true;
+        for (const VerbPlan& v : scenario_.verbs) {
+            if (v.verb.name != out.call.verb || v.verb.effect == Effect::pure) continue;
+            // A repeat by its mark, where its group still knows it, gets the receipt and takes no effect.
+            std::string group = "all";
+            if (v.verb.group == Group::zone) group = "z" + s.zone;
+            if (v.verb.group == Group::cell) group = fmt::format("c{}", s.cell);
+            const bool repeat = v.verb.effect == Effect::receipted && !out.call.mark.empty() &&
+                                !marks_[group].enter(now, out.call.mark, now + v.verb.remembered);
+            if (!repeat) log(now, What::began, out.call.command, -1, server, begun.job, 0);
+        }
+        agenda_.put(begun.until, [this, run = begun.job, life = host.lives, server](Nanos t) {
+            if (hosts_[nth(server)]->lives == life) finish(t, run);
+        });
+    }
+}
+
+void World::finish(Nanos now, std::uint64_t run) {
+    const auto it = runs_.find(run);
+    if (it == runs_.end()) return;
+    RunOut& out = it->second;
+    const int server = out.server;
+    Host& host = *hosts_[nth(server)];
+    const Server& s = servers_[nth(server)];
+    host.machine.ended();
+    Reply reply{Reply::Kind::value, fmt::format("v{:x}", run)};
+    if (s.origin) {
+        for (std::size_t c = 1; c < servers_.size() && out.call.write; ++c) hosts_[c]->kept.drop(out.call.key);
+        if (const auto lacking = lacking_.find(out.call.command); lacking != lacking_.end() && !out.call.write) {
+            for (const int c : lacking->second)
+                if (hosts_[nth(c)]->life == Life::up) hosts_[nth(c)]->kept.put(out.call.key);
+            lacking_.erase(lacking);
+        }
+    } else if (service_.yes(s.plan->errors)) {
+        reply = {Reply::Kind::error, {}};
+    } else if (!out.call.write && !out.hit) {
+        reply = {Reply::Kind::miss, {}};
+        lacking_[out.call.command].push_back(server);
+    }
+    if (service_.yes(now_.spoil)) reply = {Reply::Kind::spoilt, {}};
+    say(now, run, std::move(reply));
+    serve(now, server);
+}
+
+// The server's word on a run; what is left of the run goes with it.
+void World::say(Nanos now, std::uint64_t run, Reply reply) {
+    const auto it = runs_.find(run);
+    const RunOut out = std::move(it->second);
+    runs_.erase(it);
+    static constexpr std::string_view kinds[] = {"value", "miss", "error", "busy", "spoilt"};
+    log(now, What::ended, out.call.command, -1, out.server, run, 0,
+        fmt::format("{} {}", kinds[static_cast<int>(reply.kind)], reply.token));
+    const auto conn = conns_.find(out.conn);
+    if (conn == conns_.end()) return;
+    for (auto& owed : conn->second.owed)
+        if (owed.run == run) owed.reply = std::move(reply);
+    if (hosts_[nth(out.server)]->deaf) return;
+    deliver(now, out.conn);
+}
+
+void World::deliver(Nanos now, ConnId id) {
+    Conn& conn = conns_.at(id);
+    while (!conn.owed.empty() && conn.owed.front().reply) {
+        const Reply reply = std::move(*conn.owed.front().reply);
+        conn.owed.pop_front();
+        if (!passes(conn.router, conn.server)) return;
+        const Nanos trip = delay(servers_[nth(conn.server)].zone, routers_[nth(conn.router)].zone);
+        agenda_.put(now + trip, [this, id, reply](Nanos) {
+            if (conns_.contains(id)) driver_.reply(id, reply);
+        });
+    }
+}
+
+void World::breakOne(Nanos now, ConnId id) {
+    const auto it = conns_.find(id);
+    if (it == conns_.end()) return;
+    --hosts_[nth(it->second.server)]->connections;
+    for (const auto& owed : it->second.owed)
+        if (const auto run = runs_.find(owed.run); run != runs_.end())
+            log(now, What::broke, run->second.call.command, it->second.router, it->second.server, owed.run, 0);
+    conns_.erase(it);
+    driver_.broke(id);
+}
+
+void World::breakAll(Nanos now, int server) {
+    std::vector<ConnId> all;
+    for (const auto& [id, conn] : conns_)
+        if (conn.server == server) all.push_back(id);
+    std::sort(all.begin(), all.end());  // the same order each time
+    for (const ConnId id : all) breakOne(now, id);
+}
+
+void World::die(Nanos now, int server) {
+    Host& host = *hosts_[nth(server)];
+    host.life = Life::down;
+    ++host.lives;
+    host.machine.clear();
+    host.kept.clear();
+    host.drive.clear();
+    breakAll(now, server);
+    std::erase_if(runs_, [&](const auto& item) { return item.second.server == server; });
+    lookAtDoors(now);
+}
+
+void World::revive(Nanos now, int server) {
+    Host& host = *hosts_[nth(server)];
+    if (host.life == Life::gone) return;
+    host.life = Life::up;
+    host.draining = false;
+    ++host.lives;
+    Server& s = servers_[nth(server)];
+    if (!s.origin) s.startedAt = now;
+    log(now, What::started, 0, -1, server, 0, s.startedAt);
+    lookAtDoors(now);
+    if (!s.origin) change(now, server, Presence::ready, scenario_.discovery.noticeBack);
+}
+
+// ---- discovery
+
+List World::wholeList() const {
+    List list{version_, true, {}};
+    for (const ListLine& line : lines_)
+        if (line.presence != Presence::gone) list.lines.push_back(line);
+    return list;
+}
+
+List World::lastList(int router) const {
+    const RouterState& state = routers_[nth(router)];
+    if (state.told.empty()) return wholeList();
+    List list{0, true, {}};  // its version may be old: whatever has changed since is told at the first call
+    for (const auto& [server, line] : state.told)
+        if (line.presence != Presence::gone) list.lines.push_back(line);
+    return list;
+}
+
+void World::change(Nanos now, int server, Presence presence, Nanos after) {
+    agenda_.put(now + after, [this, server, presence](Nanos t) {
+        ListLine& line = lines_[nth(server)];
+        line.presence = presence;
+        line.startedAt = servers_[nth(server)].startedAt;
+        changes_.push_back({++version_, line});
+        answerWatches(t);
+    });
+}
+
+void World::watch(Nanos now, int router, std::optional<std::int64_t> after, Nanos wait) {
+    RouterState& state = routers_[nth(router)];
+    const std::uint64_t call = ++lastCall_;
+    state.call = call;
+    state.after = after;
+    const auto mine = [this, router, call] { return routers_[nth(router)].call == call; };
+    if (discoverySilent_) return;
+    const Nanos turn = static_cast<Nanos>(1e9 / scenario_.discovery.perSecond);
+    discoveryFreeAt_ = std::max(now, discoveryFreeAt_) + turn;
+    const bool late = discoveryFreeAt_ - now > scenario_.discovery.limit;
+    if (discoveryDown_ || late) {
+        if (late) discoveryFreeAt_ -= turn;
+        agenda_.put(now + (discoveryDown_ ? scenario_.network.same : scenario_.discovery.limit),
+                    [this, router, mine](Nanos) {
+                        if (!mine()) return;
+                        routers_[nth(router)].call.reset();
+                        driver_.listFailed(router);
+                    });
+        return;
+    }
+    state.callUntil = 0;
+    agenda_.put(discoveryFreeAt_, [this, router, mine, wait](Nanos t) {
+        if (!mine()) return;
+        RouterState& waiting = routers_[nth(router)];
+        if (!waiting.after || *waiting.after < version_) return answerCall(t, router);
+        waiting.callUntil = t + wait;
+        agenda_.put(t + wait, [this, router, mine](Nanos end) {
+            if (mine()) answerCall(end, router);
+        });
+    });
+}
+
+void World::unwatch(int router) { routers_[nth(router)].call.reset(); }
+
+void World::answerWatches(Nanos now) {
+    for (int r = 0; r < scenario_.routers.count; ++r)
+        if (routers_[nth(r)].call && routers_[nth(r)].callUntil > now) answerCall(now, r);
+}
+
+void World::answerCall(Nanos now, int router) {
+    RouterState& state = routers_[nth(router)];
+    List list{version_, false, {}};
+    const std::int64_t known = state.after.value_or(0);
+    const std::int64_t oldest = changes_.empty() ? version_ : changes_.front().version - 1;
+    if (!state.after || known < oldest || known > version_) {
+        list = wholeList();
+    } else {
+        for (const Change& c : changes_)
+            if (c.version > known) list.lines.push_back(c.line);
+    }
+    const std::uint64_t call = *state.call;
+    state.callUntil = 0;
+    agenda_.put(now + scenario_.network.same, [this, router, call, list](Nanos t) {
+        RouterState& now = routers_[nth(router)];
+        if (now.call != call || discoverySilent_) return;
+        now.call.reset();
+        heard(t, router, list);
+        driver_.listed(router, list);
+    });
+}
+
+void World::heard(Nanos now, int router, const List& list) {
+    auto& told = routers_[nth(router)].told;
+    static constexpr std::string_view states[] = {"gone", "ready", "draining"};
+    const auto tell = [&](const ListLine& line) {
+        const auto it = told.find(line.server);
+        if (it != told.end() && it->second.presence == line.presence && it->second.startedAt == line.startedAt)
+            return;
+        told[line.server] = line;
+        log(now, What::listed, 0, router, line.server, 0, line.startedAt,
+            std::string(states[static_cast<int>(line.presence)]));
+    };
+    if (list.full)
+        for (const auto& [server, line] : std::map(told))
+            if (std::none_of(list.lines.begin(), list.lines.end(),
+                             [&, s = server](const ListLine& l) { return l.server == s; }))
+                tell({server, Presence::gone, line.startedAt});
+    for (const ListLine& line : list.lines) tell(line);
+}
+
+void World::failCalls() {
+    for (int r = 0; r < scenario_.routers.count; ++r)
+        if (std::exchange(routers_[nth(r)].call, std::nullopt)) driver_.listFailed(r);
+}
+
+// ---- routers
+
+void World::routerUp(Nanos now, int router) {
+    RouterState& state = routers_[nth(router)];
+    state.up = state.believed = true;
+    log(now, What::up, 0, router, -1, 0, 0);
+    heard(now, router, lastList(router));
+}
+
+void World::routerGone(Nanos now, int router) {
+    RouterState& state = routers_[nth(router)];
+    state.up = false;
+    state.call.reset();
+    const std::uint64_t life = ++state.life;
+    const bool asked = std::exchange(state.ending, false);
+    log(now, What::killed, 0, router, -1, 0, 0, asked ? "asked" : "by itself");
+    std::vector<ConnId> all;
+    for (const auto& [id, conn] : conns_)
+        if (conn.router == router) all.push_back(id);
+    std::sort(all.begin(), all.end());
+    for (const ConnId id : all) closed(now, id);
+    agenda_.put(now + scenario_.routers.notice, [this, router, life](Nanos) {
+        RouterState& later = routers_[nth(router)];
+        if (later.life == life && !later.up) later.believed = false;
+    });
+    agenda_.put(now + scenario_.routers.restart, [this, router](Nanos) { driver_.start(router); });
+}
+
+// ---- faults
+
+void World::plan(const FaultPlan& fault) {
+    for (int i = 0; i < fault.times; ++i) {
+        FaultPlan one = fault;
+        one.at = beganAt_ + fault.at + fault.length * i / fault.times;
+        if (fault.times > 1) one.length = fault.length / fault.times / 2;
+        agenda_.put(one.at, [this, one](Nanos t) { play(t, one); });
+    }
+}
+
+std::vector<int> World::drawCaches(int count) {
+    std::vector<int> up;
+    for (std::size_t i = 1; i < servers_.size(); ++i)
+        if (hosts_[i]->life == Life::up && !hosts_[i]->draining) up.push_back(static_cast<int>(i));
+    std::shuffle(up.begin(), up.end(), faults_.source());
+    if (std::ssize(up) > count) up.resize(nth(count));
+    std::sort(up.begin(), up.end());
+    return up;
+}
+
+void World::play(Nanos now, const FaultPlan& fault) {
+    log(now, What::fault, 0, -1, -1, 0, 0, fmt::format("begins {} {}", nameOf(fault.kind), fault.zone));
+    std::vector<int> hit;
+    const auto each = [&](auto what) {
+        hit = drawCaches(fault.count);
+        for (const int s : hit) what(s, *hosts_[nth(s)]);
+    };
+    using K = FaultKind;
+    switch (fault.kind) {
+        case K::crash:
+            each([&](int s, Host&) {
+                die(now, s);
+                change(now, s, Presence::gone, scenario_.discovery.noticeGone);
+            });
+            break;
+        case K::hang:
+            each([&](int s, Host& host) {
+                host.life = Life::hung;
+                change(now, s, Presence::gone, scenario_.discovery.noticeGone);
+            });
+            break;
+        case K::slow:
+            each([&](int, Host& host) { host.slow = std::max(fault.by, 0.01); });
+            break;
+        case K::errors:
+            each([&](int, Host& host) { host.errors = fault.by; });
+            break;
+        case K::replace:
+            each([&](int s, Host& host) {
+                die(now, s);
+                host.life = Life::gone;
+                change(now, s, Presence::gone, scenario_.discovery.noticeGone);
+                Server fresh = servers_[nth(s)];
+                fresh.name = fmt::format("{}-new{}", fresh.plan->name, ++lastReplaced_);
+                const auto index = static_cast<int>(servers_.size());
+                occupants_[nth(fresh.door)] = index;
+                addServer(std::move(fresh), now, true);
+                log(now, What::started, 0, -1, index, 0, now);
+                lookAtDoors(now);
+                change(now, index, Presence::ready, scenario_.discovery.noticeBack);
+            });
+            break;
+        case K::drain:
+            each([&](int s, Host& host) {
+                change(now, s, Presence::draining, 0);
+                agenda_.put(now + scenario_.drainGrace, [&host](Nanos) { host.draining = true; });
+                agenda_.put(now + 2 * scenario_.drainGrace + scenario_.longestLimit(), [this, s](Nanos t) {
+                    die(t, s);
+                    change(t, s, Presence::gone, 0);
+                });
+            });
+            break;
+        case K::cut:
+            now_.cutZone = fault.zone;
+            lookAtDoors(now);
+            break;
+        case K::refuse:
+            each([&](int, Host& host) { host.refuses = true; });
+            lookAtDoors(now);
+            break;
+        case K::reset:
+            each([&](int, Host& host) { host.resets = fault.by; });
+            break;
+        case K::slowReader:
+            each([&](int, Host& host) { host.readsLater = static_cast<Nanos>(fault.by * kMillisecond); });
+            break;
+        case K::deaf:
+            each([&](int, Host& host) { host.deaf = true; });
+            break;
+        case K::spoil:
+            now_.spoil = fault.by;
+            break;
+        case K::originStop:
+            die(now, 0);
+            break;
+        case K::originSlow:
+            hosts_[0]->slow = fault.by;
+            break;
+        case K::discoveryDown:
+            discoveryDown_ = true;
+            failCalls();
+            break;
+        case K::discoverySilent:
+            discoverySilent_ = true;
+            break;
+        case K::discoveryMove:
+            driver_.discoveryMoved(++discoveryDoor_);
+            break;
+        case K::hotKey:
+            now_.hotKey = fault.by;
+            break;
+        case K::heavy:
+            now_.heavy = fault.by;
+            break;
+        case K::scan:
+            now_.scan = fault.by;
+            break;
+        case K::load:
+            now_.load = fault.by;
+            break;
+        case K::routerKill: {
+            std::vector<int> all;
+            for (int r = 0; r < scenario_.routers.count; ++r)
+                if (routers_[nth(r)].up) all.push_back(r);
+            std::shuffle(all.begin(), all.end(), faults_.source());
+            for (std::size_t i = 0; i < std::min(all.size(), nth(fault.count)); ++i) {
+                routers_[nth(all[i])].ending = true;
+                driver_.kill(all[i]);
+            }
+            break;
+        }
+        case K::routerRestart:
+            for (int r = 0; r < scenario_.routers.count; ++r)
+                agenda_.put(now + fault.length * r / scenario_.routers.count, [this, r](Nanos t) {
+                    RouterState& state = routers_[nth(r)];
+                    if (!state.up) return;
+                    state.ending = true;
+                    log(t, What::stopping, 0, r, -1, 0, 0);
+                    driver_.terminate(r);
+                    agenda_.put(t + kFrontSeesTerm, [this, r, life = state.life](Nanos) {
+                        if (routers_[nth(r)].life == life) routers_[nth(r)].believed = false;
+                    });
+                });
+            break;
+        case K::reload:
+            for (int r = 0; r < scenario_.routers.count; ++r)
+                if (routers_[nth(r)].up) driver_.reload(r);
+            break;
+    }
+    if (fault.length > 0)
+        agenda_.put(now + fault.length, [this, fault, hit](Nanos t) { heal(t, fault, hit); });
+}
+
+void World::heal(Nanos now, const FaultPlan& fault, const std::vector<int>& hit) {
+    log(now, What::fault, 0, -1, -1, 0, 0, fmt::format("ends {} {}", nameOf(fault.kind), fault.zone));
+    for (const int s : hit) {
+        Host& host = *hosts_[nth(s)];
+        switch (fault.kind) {
+            case FaultKind::crash:
+            case FaultKind::drain:
+                if (host.life == Life::down || host.draining) {
+                    if (host.life != Life::down) die(now, s);
+                    revive(now, s);
+                }
+                break;
+            case FaultKind::hang:
+                // A process that hung is started anew.
+                if (host.life != Life::hung) break;
+                die(now, s);
+                revive(now, s);
+                break;
+            default:
+                host.slow = 1;
+                host.errors = host.resets = 0;
+                host.refuses = host.deaf = false;
+                host.readsLater = 0;
+        }
+    }
+    using K = FaultKind;
+    if (fault.kind == K::cut) {
+        std::vector<ConnId> across;
+        for (const auto& [id, conn] : conns_)
+            if (!passes(conn.router, conn.server)) across.push_back(id);
+        std::sort(across.begin(), across.end());
+        now_.cutZone.clear();
+        for (const ConnId id : across) breakOne(now, id);
+    }
+    if (fault.kind == K::cut || fault.kind == K::refuse) lookAtDoors(now);
+    if (fault.kind == K::spoil) now_.spoil = 0;
+    if (fault.kind == K::originStop) revive(now, 0);
+    if (fault.kind == K::originSlow) hosts_[0]->slow = 1;
+    if (fault.kind == K::discoveryDown) discoveryDown_ = false;
+    if (fault.kind == K::discoverySilent) discoverySilent_ = false;
+    if (fault.kind == K::hotKey) now_.hotKey = 0;
+    if (fault.kind == K::heavy) now_.heavy = 0;
+    if (fault.kind == K::scan) now_.scan = 0;
+    if (fault.kind == K::load) now_.load = 1;
+}
+
+}  // namespace poppyscale::lab
--- /dev/null
+++ b/src/lab/world.hpp
@@ -0,0 +1,247 @@
+// The deployment round the routers: clients, caches, origin, discovery and network, as one model free of I/O and
+// clock. A driver puts it behind sockets or plays it in virtual time; both see the same world.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "lab/agenda.hpp"
+#include "lab/chance.hpp"
+#include "lab/ledger.hpp"
+#include "lab/machine.hpp"
+#include "lab/scenario.hpp"
+
+namespace poppyscale::lab {
+
+using ConnId = std::uint64_t;
+
+// A client's command, given to a router.
+struct Ask {
+    CommandId id = 0;
+    int router = 0;
+    int verb = 0;
+    int customer = -1;
+    std::string key;
+    std::string mark;  // of a receipted one, the same with each try
+    Nanos giveUpAt = 0;
+    CommandId first = 0;  // the id of its first try
+    int tries = 1;
+    Nanos dueAt = 0;
+    Nanos firstLimit = 0;  // of all tries together
+    double work = 0;       // core-ns
+};
+
+// A relay as a server reads it.
+struct Call {
+    CommandId command = 0;
+    std::string key;
+    std::string verb;
+    std::string mark;
+    bool write = false;
+};
+
+struct Reply {
+    enum class Kind : std::uint8_t { value, miss, error, busy, spoilt };
+    Kind kind = Kind::error;
+    std::string token;
+};
+
+// One state of one server as discovery tells it.
+struct ListLine {
+    int server = 0;
+    Presence presence = Presence::ready;
+    Nanos startedAt = 0;  // the world's time; 0 for long ago
+};
+struct List {
+    std::int64_t version = 0;
+    bool full = false;
+    std::vector<ListLine> lines;
+};
+
+// How a server's address answers those who connect.
+enum class Door : std::uint8_t { open, refused, silent };
+
+class Driver {
+  public:
+    virtual ~Driver() = default;
+    virtual void ask(const Ask& ask) = 0;
+    virtual void leave(int router, CommandId id) = 0;
+    virtual void opened(ConnId conn, bool up) = 0;
+    virtual void reply(ConnId conn, const Reply& reply) = 0;
+    virtual void broke(ConnId conn) = 0;  // the connection is gone after this
+    virtual void door(int router, int door, Door state) = 0;
+    virtual void listed(int router, const List& list) = 0;
+    virtual void listFailed(int router) = 0;
+    virtual void discoveryMoved(int door) = 0;
+    // To the router's process.
+    virtual void kill(int router) = 0;
+    virtual void start(int router) = 0;
+    virtual void terminate(int router) = 0;
+    virtual void reload(int router) = 0;
+};
+
+class World {
+  public:
+    struct Server {
+        std::string name;
+        int door = 0;
+        std::string zone;
+        std::int64_t cell = 0;
+        bool origin = false;
+        const CachePlan* plan = nullptr;
+        double speed = 1;
+        Nanos startedAt = 0;
+    };
+
+    World(const Scenario& scenario, std::uint64_t seed, Ledger& ledger, Driver& driver);
+    ~World();
+
+    // Plays the first arrivals and the faults from `now` on; routers are up by then.
+    void begin(Nanos now);
+    Nanos next() const { return agenda_.next(); }
+    bool step(Nanos now) { return agenda_.step(now); }
+    // For a driver's own alarms, on the same time.
+    void at(Nanos when, std::function<void(Nanos)> what) { agenda_.put(when, std::move(what)); }
+    // All has been asked, and what was asked has its end.
+    bool over(Nanos now) const;
+
+    // From routers, through the driver.
+    ConnId connect(Nanos now, int router, int door);
+    void call(Nanos now, ConnId conn, const Call& call);
+    void closed(Nanos now, ConnId conn);
+    void watch(Nanos now, int router, std::optional<std::int64_t> after, Nanos wait);
+    void unwatch(int router);
+    // `unsent` with a token: the router went while it had the command.
+    enum class Told : std::uint8_t { answered, declined, terminated, unsent };
+    void told(Nanos now, CommandId id, Told how, const std::string& token, Nanos comeBack);
+    // A router's process has come up, or has ended.
+    void routerUp(Nanos now, int router);
+    void routerGone(Nanos now, int router);
+
+    // What a router starts with: the list as it stands in discovery.
+    List lastList(int router) const;
+    const std::vector<Server>& servers() const { return servers_; }
+    int doors() const { return static_cast<int>(occupants_.size()); }
+    std::optional<int> serverNamed(const std::string& name) const;
+    const std::string& routerZone(int router) const { return routers_[static_cast<std::size_t>(router)].zone; }
+    Door doorNow(int router, int door) const;
+    Nanos delay(const std::string& from, const std::string& to);
+    nlohmann::json head(std::uint64_t seed) const;
+    const Scenario& scenario() const { return scenario_; }
+
+  private:
+    enum class Life : std::uint8_t { up, hung, down, gone };
+    struct Host;  // a server's process and what ails it
+    struct RunOut {
+        std::uint64_t run = 0;
+        ConnId conn = 0;
+        Call call;
+        int server = 0;
+        bool begun = false;
+        bool hit = false;
+        double work = 0;
+    };
+    struct Conn {
+        ConnId id;
+        int router;
+        int server;
+        bool up = false;
+        Nanos lastArrival = 0;
+        struct Owed {
+            std::uint64_t run;
+            std::optional<Reply> reply;
+        };
+        std::deque<Owed> owed;  // answers go out in the order of the commands
+    };
+    struct RouterState {
+        std::string zone;
+        bool up = false;
+        bool believed = true;  // by the front
+        std::uint64_t life = 0;
+        std::optional<std::uint64_t> call;  // a call to discovery that is out
+        std::optional<std::int64_t> after;
+        Nanos callUntil = 0;
+        bool ending = false;  // it was told to, or killed
+        std::map<int, ListLine> told;
+    };
+    struct Change {
+        std::int64_t version;
+        ListLine line;
+    };
+    struct Influence {  // of faults, as a share or factor at this time
+        double hotKey = 0, heavy = 0, scan = 0, load = 1, spoil = 0;
+        std::string cutZone;
+    };
+
+    // clients
+    void arrive(Nanos now);
+    double rateAt(Nanos now);
+    void ask(Nanos now, Ask ask);
+    std::string drawKey(Nanos now);
+    int pickRouter();
+    void tryAgain(Nanos now, const Ask& last, Nanos after);
+    // servers
+    void addServer(Server server, Nanos now, bool cold);
+    void arrived(Nanos now, std::uint64_t run);
+    void serve(Nanos now, int server);
+    void finish(Nanos now, std::uint64_t run);
+    void say(Nanos now, std::uint64_t run, Reply reply);
+    void deliver(Nanos now, ConnId conn);
+    void breakAll(Nanos now, int server);
+    void breakOne(Nanos now, ConnId conn);
+    void die(Nanos now, int server);
+    void revive(Nanos now, int server);
+    void lookAtDoors(Nanos now);
+    bool passes(int router, int server) const;
+    // discovery
+    List wholeList() const;
+    void heard(Nanos now, int router, const List& list);
+    void change(Nanos now, int server, Presence presence, Nanos after);
+    void answerWatches(Nanos now);
+    void answerCall(Nanos now, int router);
+    void failCalls();
+    // faults
+    void plan(const FaultPlan& fault);
+    void play(Nanos now, const FaultPlan& fault);
+    void heal(Nanos now, const FaultPlan& fault, const std::vector<int>& hit);
+    std::vector<int> drawCaches(int count);
+    void log(Nanos at, What what, std::uint64_t command, int router, int server, std::uint64_t run,
+             std::int64_t number, std::string text = {});
+
+    Scenario scenario_;
+    Ledger& ledger_;
+    Driver& driver_;
+    Agenda agenda_;
+    Chance arrivals_, keys_, net_, service_, faults_;
+    Zipf zipf_;
+    std::vector<Server> servers_;
+    std::vector<std::unique_ptr<Host>> hosts_;
+    std::vector<int> occupants_;  // of each door: a server
+    std::vector<RouterState> routers_;
+    std::unordered_map<ConnId, Conn> conns_;
+    std::unordered_map<std::uint64_t, RunOut> runs_;
+    std::unordered_map<CommandId, Ask> open_;
+    std::unordered_map<CommandId, std::vector<int>> lacking_;  // caches that missed for an open command
+    std::unordered_map<CommandId, double> works_;
+    std::deque<CommandId> remembered_;
+    std::vector<Change> changes_;
+    std::vector<ListLine> lines_;  // as discovery has them
+    std::int64_t version_ = 1;
+    Nanos discoveryFreeAt_ = 0;
+    bool discoveryDown_ = false, discoverySilent_ = false;
+    Influence now_;
+    std::uint64_t lastRun_ = 0, lastConn_ = 0, lastCall_ = 0, lastScan_ = 0;
+    int lastReplaced_ = 0, discoveryDoor_ = 0, drifted_ = 0;
+    std::map<std::string, Marks> marks_;  // of each group that drops repeats
+    std::vector<int> order_;              // of the keys: rank to key
+    Nanos beganAt_ = 0;
+    bool allAsked_ = false;
+};
+
+}  // namespace poppyscale::lab
--- /dev/null
+++ b/tests/lab_world_test.cpp
@@ -0,0 +1,315 @@
+// Stories of the lab's world, its audit and its scenarios: no sockets, no clock.
+#include <doctest/doctest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+#include "lab/judge.hpp"
+#include "lab/machine.hpp"
+#include "lab/scenario.hpp"
+#include "lab/sim.hpp"
+#include "protocol/discovery.hpp"
+
+using namespace poppyscale;
+using namespace poppyscale::lab;
+
+namespace {
+
+constexpr Nanos ms = kMillisecond;
+
+std::string fileText(const std::string& path) {
+    std::ifstream file(path, std::ios::binary);
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+std::string calmText() { return fileText(SCENARIOS "/calm.toml"); }
+
+// What a scenario that is spoilt at one place says.
+std::string complaint(const std::string& from, const std::string& to) {
+    std::string text = calmText();
+    const auto at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    text.replace(at, from.size(), to);
+    try {
+        parseScenario(text, "day.toml");
+    } catch (const BadScenario& problem) {
+        return problem.what();
+    }
+    return "";
+}
+
+Scenario calm() { return parseScenario(calmText(), "calm.toml"); }
+
+std::vector<std::string> verdictOf(const Scenario& scenario, std::uint64_t seed) {
+    Judge judge;
+    Ledger ledger;
+    judge.follow(ledger);
+    simulate(scenario, seed, ledger);
+    return judge.verdict();
+}
+
+// A log by hand for the audit: one router, an origin, two caches, verbs of all three effects.
+struct Told {
+    Told() {
+        nlohmann::json verbs = nlohmann::json::array();
+        const char* const names[] = {"read", "upload", "payout"};
+        for (int i = 0; i < 3; ++i)
+            verbs.push_back({{"name", names[i]}, {"effect", i}, {"group", i == 1 ? 1 : 0}, {"remembered", 1'000 * ms}});
+        audit = std::make_unique<Audit>(nlohmann::json{{"slack", 50 * ms},
+                                                       {"grace", 500 * ms},
+                                                       {"cold", {{"span", 1'000 * ms}, {"ramp", 5'000 * ms}}},
+                                                       {"verbs", verbs}});
+        say(0, What::server, 0, 0, 0, 0, "origin north 0 origin 8");
+        say(0, What::server, 0, 1, 0, 0, "cache-0 north 0 cache 4");
+        say(0, What::server, 0, 2, 0, 0, "cache-1 south 0 cache 4");
+        say(0, What::up, 0, -1, 0, 0, "");
+    }
+    void say(Nanos at, What what, std::uint64_t command, int server, std::uint64_t run, std::int64_t number,
+             const std::string& text) {
+        audit->see({at, what, command, 0, server, run, number, text});
+    }
+    void asked(Nanos at, std::uint64_t command, const char* verb) {
+        say(at, What::asked, command, -1, 0, at + 1'000 * ms, std::string(verb) + " alder k1 1 1");
+    }
+    void sent(Nanos at, std::uint64_t command, int server, std::uint64_t run, Nanos work = ms) {
+        say(at, What::sent, command, server, run, work, "");
+    }
+    void ended(Nanos at, std::uint64_t command, int server, std::uint64_t run, const char* how) {
+        say(at, What::ended, command, server, run, 0, how);
+    }
+    std::string broken() {
+        std::string all;
+        for (const Breach& b : audit->finish()) all += (all.empty() ? "" : " ") + b.rule;
+        return all;
+    }
+    std::unique_ptr<Audit> audit;
+};
+
+}  // namespace
+
+TEST_CASE("a machine serves as many at once as it has cores, and turns away past its room") {
+    Machine m({2, 0.5, 1, 0});
+    for (std::uint64_t job : {1, 2}) m.take(job, 10e6);
+    const auto first = m.begin(0, 1);
+    REQUIRE(first.size() == 2);
+    CHECK(first[0].until == 20 * ms);  // 10 ms of work at half the speed
+    m.take(3, 10e6);
+    CHECK(m.begin(0, 1).empty());
+    CHECK(m.full());
+    m.ended();
+    const auto next = m.begin(20 * ms, 0.5);  // cold: at half the pace
+    REQUIRE(next.size() == 1);
+    CHECK(next[0].until == 60 * ms);
+    CHECK_FALSE(m.withdraw(3));  // it runs
+    m.take(4, 10e6);
+    CHECK(m.withdraw(4));
+    m.extra(5e6);  // a handshake is borne by what begins next
+    m.ended();
+    m.take(5, 10e6);
+    CHECK(m.begin(0, 1).at(0).until == 30 * ms);
+}
+
+TEST_CASE("a thrashing machine takes longer the fuller its room is") {
+    Machine m({1, 1, 4, 0.5});
+    for (std::uint64_t job : {1, 2, 3}) m.take(job, 10e6);
+    CHECK(m.begin(0, 1).at(0).until == 10 * ms + 2'500'000);  // two of four wait: half of half more
+}
+
+TEST_CASE("a cold machine warms from its share to all, and work is weighed over a span") {
+    CHECK(paceOf(0, 0, 0.2, 1'000 * ms) == 1);
+    CHECK(paceOf(100 * ms, 100 * ms, 0.2, 1'000 * ms) == doctest::Approx(0.2));
+    CHECK(paceOf(600 * ms, 100 * ms, 0.2, 1'000 * ms) == doctest::Approx(0.6));
+    CHECK(paceOf(9'000 * ms, 100 * ms, 0.2, 1'000 * ms) == 1);
+    Drive d(1'000 * ms);
+    d.add(0, 5);
+    d.add(900 * ms, 7);
+    CHECK(d.sum(950 * ms) == 12);
+    CHECK(d.sum(1'000 * ms) == 7);
+    CHECK(d.sum(3'000 * ms) == 0);
+}
+
+TEST_CASE("kept keys are bounded, the one used longest ago goes, and marks are known for their time") {
+    Kept kept(2);
+    kept.put("a");
+    kept.put("b");
+    CHECK(kept.use("a"));
+    kept.put("c");
+    CHECK_FALSE(kept.use("b"));
+    CHECK(kept.use("a"));
+    kept.drop("a");
+    CHECK_FALSE(kept.use("a"));
+    CHECK(kept.size() == 1);
+    Marks marks;
+    CHECK(marks.enter(0, "m", 100));
+    CHECK_FALSE(marks.enter(99, "m", 199));
+    CHECK(marks.enter(100, "m", 200));
+}
+
+TEST_CASE("each malformed scenario is refused with its file, line and key") {
+    CHECK(complaint("count = 3", "cuont = 3") == "day.toml:5: routers.count: is missing");
+    CHECK(complaint("cores = 5", "cores = 5\nspede = 1") == "day.toml:15: caches[0].spede: is not a key that is known here");
+    CHECK(complaint("count = 12", "count = \"twelve\"") == "day.toml:13: caches[0].count: is not a whole number");
+    CHECK(complaint("count = 12", "count = 500").starts_with("day.toml:13: caches[0].count: is not from 1 to 200"));
+    CHECK(complaint("swing = 0.25", "swing = 1.25").starts_with("day.toml:30: load.swing: is not from 0 to 1"));
+    CHECK(complaint("effect = \"pure\"", "effect = \"safe\"").find("verbs[0].effect: 'safe' is none of pure") != std::string::npos);
+    CHECK(complaint("goal_ms = 500", "goal_ms = 5000").find("verbs[0].goal_ms") != std::string::npos);
+    CHECK(complaint("[network]", "[network").starts_with("day.toml:"));
+    CHECK(complaint("name = \"payout\"", "name = \"read\"").find("verbs[2].name: is another verb's too") != std::string::npos);
+    const auto fault = [](const std::string& lines) { return complaint("[holds]", "[[faults]]\n" + lines + "\n[holds]"); };
+    CHECK(fault("kind = \"crush\"\nat_ms = 1").find("faults[0].kind: 'crush' is none of crash") != std::string::npos);
+    CHECK(fault("kind = \"cut\"\nat_ms = 1\nzone = \"east\"").find("faults[0].zone: 'east' is not a zone") != std::string::npos);
+    CHECK(fault("kind = \"crash\"\nat_ms = 19000\nfor_ms = 2000").find("ends after the scenario") != std::string::npos);
+    CHECK(fault("kind = \"crash\"\nat_ms = 1\ncount = 13").find("faults[0].count: is not from 1 to 12") != std::string::npos);
+    CHECK(fault("kind = \"spoil\"\nat_ms = 1\nby = nan").find("faults[0].by: is not a number") != std::string::npos);
+    CHECK(complaint("[holds]", "[holds]") == "");
+}
+
+TEST_CASE("the program reads from its configuration what the module is told in virtual time") {
+    const Scenario s = calm();
+    const auto json = configurationOf(s, {"r0", "127.0.0.1:1", "127.0.0.1:2"}, 77,
+                                      {{"version", 1}, {"full", true}, {"servers", nlohmann::json::array()}});
+    CHECK(protocol::readStart(json.dump()).terms == termsOf(s, 77));
+}
+
+TEST_CASE("the same seed gives the same log, byte for byte, and another seed another") {
+    Scenario s = calm();
+    s.length = 3'000 * ms;
+    FaultPlan crash;
+    crash.at = 500 * ms;
+    crash.length = 1'000 * ms;
+    crash.count = 3;
+    s.faults = {crash};
+    const auto dir = std::filesystem::temp_directory_path();
+    const auto play = [&](std::uint64_t seed, const char* name) {
+        const std::string path = dir / name;
+        {
+            Ledger ledger(path);
+            simulate(s, seed, ledger);
+        }
+        std::string text = fileText(path);
+        std::filesystem::remove(path);
+        return text;
+    };
+    const std::string once = play(5, "poppylab-a.tsv");
+    CHECK(once.size() > 10'000);
+    CHECK(once == play(5, "poppylab-b.tsv"));
+    CHECK(once != play(6, "poppylab-c.tsv"));
+}
+
+TEST_CASE("no false alarm on twenty seeds of calm and of crash") {
+    Scenario s = calm();
+    s.length = 4'000 * ms;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) CHECK(verdictOf(s, seed) == std::vector<std::string>{});
+    FaultPlan crash;
+    crash.at = 1'000 * ms;
+    crash.length = 1'500 * ms;
+    crash.count = 2;
+    s.faults = {crash};
+    s.bounds = {};
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) CHECK(verdictOf(s, seed) == std::vector<std::string>{});
+}
+
+TEST_CASE("the audit: a command without an answer in time, or with two, is lost") {
+    Told t;
+    t.asked(0, 1, "read");
+    t.say(1'060 * ms, What::silent, 1, -1, 0, 0, "");
+    t.asked(0, 2, "read");
+    t.say(5 * ms, What::declined, 2, -1, 0, 0, "");
+    t.say(6 * ms, What::terminated, 2, -1, 0, 0, "");
+    t.asked(0, 3, "read");
+    t.say(5 * ms, What::unsent, 3, -1, 0, 0, "");
+    CHECK(t.broken() == "lost lost lost");
+    Told gone;  // what a killed router had is nobody's fault
+    gone.asked(0, 1, "read");
+    gone.say(5 * ms, What::killed, 0, -1, 0, 0, "asked");
+    gone.say(6 * ms, What::unsent, 1, -1, 0, 0, "");
+    CHECK(gone.broken() == "");
+    Told crashed;
+    crashed.say(5 * ms, What::killed, 0, -1, 0, 0, "by itself");
+    CHECK(crashed.broken() == "crash");
+}
+
+TEST_CASE("the audit: an effect that may come twice") {
+    Told payout;  // sent again after an error
+    payout.asked(0, 1, "payout");
+    payout.sent(1 * ms, 1, 1, 11);
+    payout.ended(5 * ms, 1, 1, 11, "error ");
+    payout.sent(6 * ms, 1, 2, 12);
+    payout.ended(9 * ms, 1, 2, 12, "value v12");
+    CHECK(payout.broken() == "twice");
+    Told busy;  // and after what proves that it never ran
+    busy.asked(0, 1, "payout");
+    busy.sent(1 * ms, 1, 1, 11);
+    busy.ended(5 * ms, 1, 1, 11, "busy ");
+    busy.sent(6 * ms, 1, 2, 12);
+    busy.ended(9 * ms, 1, 2, 12, "value v12");
+    busy.say(9 * ms, What::answered, 1, -1, 0, 0, "v12");
+    CHECK(busy.broken() == "");
+    Told declined;
+    declined.asked(0, 1, "payout");
+    declined.sent(1 * ms, 1, 1, 11);
+    declined.say(3 * ms, What::closed, 1, 1, 11, 0, "");
+    declined.say(4 * ms, What::declined, 1, -1, 0, 0, "");
+    CHECK(declined.broken() == "twice");
+    Told upload;  // its group is the zone: the other one doesn't know its mark
+    upload.asked(0, 1, "upload");
+    upload.sent(1 * ms, 1, 1, 11);
+    upload.say(3 * ms, What::closed, 1, 1, 11, 0, "");
+    upload.sent(4 * ms, 1, 0, 12);
+    upload.say(6 * ms, What::closed, 1, 0, 12, 0, "");
+    upload.sent(7 * ms, 1, 2, 13);
+    upload.ended(9 * ms, 1, 2, 13, "value v13");
+    CHECK(upload.broken() == "twice");
+    Told late;  // and past its time nobody does
+    late.asked(0, 1, "upload");
+    late.sent(1 * ms, 1, 1, 11);
+    late.say(3 * ms, What::closed, 1, 1, 11, 0, "");
+    late.sent(1'002 * ms, 1, 0, 12);
+    late.ended(1'003 * ms, 1, 0, 12, "value v12");
+    CHECK(late.broken() == "twice");
+    Told both;
+    both.asked(0, 1, "read");
+    both.sent(1 * ms, 1, 1, 11);
+    both.sent(2 * ms, 1, 2, 12);
+    both.ended(9 * ms, 1, 1, 11, "value v11");
+    both.ended(9 * ms, 1, 2, 12, "value v12");
+    CHECK(both.broken() == "twice");
+}
+
+TEST_CASE("the audit: an answer that no server gave, or gave for another command") {
+    Told t;
+    t.asked(0, 1, "read");
+    t.asked(0, 2, "read");
+    t.sent(1 * ms, 1, 1, 11);
+    t.ended(5 * ms, 1, 1, 11, "value v11");
+    t.say(6 * ms, What::answered, 2, -1, 0, 0, "v11");
+    t.say(6 * ms, What::answered, 1, -1, 0, 0, "v11");
+    CHECK(t.broken() == "foreign");
+}
+
+TEST_CASE("the audit: a relay to a cache that drains, after the grace") {
+    Told t;
+    t.say(0, What::listed, 0, 1, 0, 0, "draining");
+    t.asked(490 * ms, 1, "read");
+    t.sent(499 * ms, 1, 1, 11);
+    t.ended(500 * ms, 1, 1, 11, "miss ");
+    CHECK(t.broken() == "");
+    t.sent(501 * ms, 1, 1, 12);
+    t.ended(502 * ms, 1, 1, 12, "value v12");
+    CHECK(t.broken() == "drain");
+}
+
+TEST_CASE("the audit: a cold cache that goes down counts when two thirds came from who knew") {
+    for (const bool knew : {true, false}) {
+        Told t;
+        t.say(0, What::started, 0, 1, 0, 7, "");
+        if (knew) t.say(0, What::listed, 0, 1, 0, 7, "ready");
+        t.asked(0, 1, "read");
+        t.sent(1 * ms, 1, 1, 11, 900 * ms);
+        t.ended(2 * ms, 1, 1, 11, "miss ");
+        t.say(3 * ms, What::fell, 0, 1, 0, 0, "");
+        CHECK(t.broken() == (knew ? "cold" : ""));
+    }
+}
