The lab's world behind real loopback sockets, round real router processes

Need: virtual time shows the decisions and nothing of sockets, processes or signals, where most of what failed in service lay.

Change: `poppylab run` starts the program once for each router, with a configuration and addresses of its own, and plays caches (RESP2), origin and discovery (HTTP) and the clients over loopback. A machine that is cut off is a socket whose backlog is full. What the lab starts is in process groups that end with it; its own lateness is measured and a run that it spoils ends with 3. A router's kill is now logged ahead of what it loses, which the audit had taken for commands lost by a living one.

--- /dev/null
+++ b/src/lab/http_call.hpp
@@ -0,0 +1,43 @@
+// HTTP/1.1 calls, as the origin and discovery of the lab hear them.
+#pragma once
+
+#include <http_parser.h>
+
+#include <string>
+#include <string_view>
+
+namespace poppyscale::lab {
+
+class HttpCall {
+  public:
+    HttpCall();
+    HttpCall(const HttpCall&) = delete;
+    HttpCall& operator=(const HttpCall&) = delete;
+
+    enum class State : std::uint8_t { more, whole, broken };
+    // Eats of `bytes` up to the end of one call at most.
+    State feed(std::string_view& bytes);
+    void clear();
+
+    bool write() const { return parser_.method == HTTP_PUT; }
+    const std::string& path() const { return path_; }
+    // A value of the part behind '?', "" without one.
+    std::string query(std::string_view name) const;
+    const std::string& id() const { return id_; }
+    const std::string& info() const { return info_; }
+
+  private:
+    static HttpCall& of(http_parser* parser) { return *static_cast<HttpCall*>(parser->data); }
+    void headerDone();
+
+    http_parser_settings calls_{};
+    http_parser parser_{};
+    std::string path_, field_, value_, id_, info_;
+    std::size_t size_ = 0;
+    bool valueSeen_ = false;
+    bool whole_ = false;
+};
+
+std::string httpAnswer(int status, std::string_view extra, std::string_view body);
+
+}  // namespace poppyscale::lab
--- /dev/null
+++ b/src/lab/live.cpp
@@ -0,0 +1,747 @@
+#include "lab/live.hpp"
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <list>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <set>
+#include <unordered_map>
+
+#include "lab/http_call.hpp"
+#include "lab/process.hpp"
+#include "lab/world.hpp"
+#include "protocol/number.hpp"
+#include "protocol/resp.hpp"
+#include "transport/connection.hpp"
+#include "transport/listener.hpp"
+#include "transport/loop.hpp"
+
+namespace poppyscale::lab {
+namespace {
+
+using transport::Address;
+using transport::Connection;
+
+constexpr Nanos kSecond = 1'000 * kMillisecond;
+constexpr Nanos kReadyWithin = 15 * kSecond;
+constexpr Nanos kAskReady = 20 * kMillisecond;
+constexpr Nanos kLateFrom = 20 * kMillisecond;
+constexpr Nanos kLateSpan = 100 * kMillisecond;
+constexpr Nanos kOldDiscovery = 1'500 * kMillisecond;
+constexpr std::size_t kBuffers = 1 << 16;
+constexpr std::uint16_t kRouterPort = 7000, kDiscoveryPort = 9000, kServerPort = 10000;
+
+std::string textOf(const Address& a) {
+    char name[INET_ADDRSTRLEN] = {};
+    ::inet_ntop(AF_INET, &a.sin_addr, name, sizeof name);
+    return fmt::format("{}:{}", name, ntohs(a.sin_port));
+}
+
+std::string itemOf(std::string_view info, std::string_view name) {
+    while (!info.empty()) {
+        const auto item = info.substr(0, info.find(','));
+        if (item.starts_with(name) && item.size() > name.size() && item[name.size()] == '=')
+            return std::string(item.substr(name.size() + 1));
+        info.remove_prefix(std::min(info.size(), item.size() + 1));
+    }
+    return "";
+}
+
+CommandId idOf(std::string_view text) { return protocol::parse<std::uint64_t>(text, 16).value_or(0); }
+
+std::string lastLine(const std::string& path) {
+    std::ifstream file(path);
+    std::string line, last = "nothing";
+    while (std::getline(file, line)) last = line;
+    return last;
+}
+
+// A socket that is bound and listens but takes nobody: with its backlog full, who connects hears nothing, as
+// of a machine that is cut off.
+class Wall {
+  public:
+    explicit Wall(const Address& at) {
+        fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const int yes = 1;
+        ::setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+        if (::bind(fd_, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 || ::listen(fd_, 0) != 0) return;
+        for (int& plug : plugs_) {
+            plug = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+            ::connect(plug, reinterpret_cast<const sockaddr*>(&at), sizeof at);
+        }
+    }
+    ~Wall() {
+        for (const int plug : plugs_)
+            if (plug >= 0) ::close(plug);
+        if (fd_ >= 0) ::close(fd_);
+    }
+    Wall(const Wall&) = delete;
+    Wall& operator=(const Wall&) = delete;
+
+  private:
+    int fd_ = -1;
+    int plugs_[2] = {-1, -1};
+};
+
+class Live;
+
+// A router's connection to a cache or to the origin, as the server has it.
+class ServerLink : private Connection::Owner {
+  public:
+    ServerLink(Live& live, int router, int door);
+    bool start(const std::function<bool(Connection&)>& finish);
+    void reply(const Reply& reply);
+    ConnId id() const { return id_; }
+
+  private:
+    void received(std::string_view bytes) override;
+    void ended() override;
+    void readRelay(const protocol::Value& words);
+
+    Live& live_;
+    int router_, door_;
+    ConnId id_ = 0;
+    Connection connection_;
+    protocol::Decoder decoder_{{80 * 1024, 16, 2, 160 * 1024, false}};
+    HttpCall http_;
+};
+
+// A router's connection to discovery.
+class ListLink : private Connection::Owner {
+  public:
+    ListLink(Live& live, int router);
+    bool start(const std::function<bool(Connection&)>& finish);
+    void say(const std::string& json);
+    int router() const { return router_; }
+
+  private:
+    void received(std::string_view bytes) override;
+    void ended() override;
+
+    Live& live_;
+    int router_;
+    Connection connection_;
+    HttpCall http_;
+};
+
+// A client's connection to a router; one command at a time.
+class ClientLink : private Connection::Owner {
+  public:
+    ClientLink(Live& live, int router);
+    // False when the system has nothing left for it.
+    bool open(const Address& to);
+    void send(const Ask& ask);
+    CommandId asked() const { return ask_.id; }
+    bool idle() const { return up_ && ask_.id == 0; }
+
+  private:
+    void opened(bool up) override;
+    void received(std::string_view bytes) override;
+    void ended() override;
+    void write();
+
+    Live& live_;
+    int router_;
+    Connection connection_;
+    protocol::Decoder decoder_{{80 * 1024, 64, 3, 256 * 1024, false}};
+    Ask ask_;
+    bool up_ = false;
+    int served_ = 0;
+};
+
+// Asks a router that has been started whether it is there, until it is.
+class Ready : private Connection::Owner {
+  public:
+    Ready(Live& live, int router);
+
+  private:
+    void tryIt();
+    void opened(bool up) override;
+    void received(std::string_view bytes) override;
+    void ended() override;
+
+    Live& live_;
+    int router_;
+    transport::Alarm again_;
+    std::unique_ptr<Connection> connection_;
+};
+
+class Live : public Driver {
+  public:
+    Live(const Scenario& scenario, std::uint64_t seed, Ledger& ledger, const LiveWanted& wanted);
+    ~Live() override;
+    LiveResult run();
+
+    // Times of the world.
+    Nanos now() const { return transport::Loop::now() - base_; }
+    Nanos arrived() const { return loop.arrivedBy() - base_; }
+
+    void ask(const Ask& ask) override { askOn(ask, false); }
+    void askOn(const Ask& ask, bool fresh);
+    void leave(int router, CommandId id) override;
+    void opened(ConnId conn, bool up) override {
+        if (!up) serverLinks.erase(conn);
+    }
+    void reply(ConnId conn, const Reply& reply) override {
+        const auto it = serverLinks.find(conn);
+        if (it != serverLinks.end()) it->second->reply(reply);
+    }
+    void broke(ConnId conn) override { serverLinks.erase(conn); }
+    void door(int router, int door, Door state) override;
+    void listed(int router, const List& list) override;
+    void listFailed(int router) override { listLinks.erase(router); }
+    void discoveryMoved(int door) override;
+    void kill(int router) override { signalTo(router, SIGKILL); }
+    void start(int router) override;
+    void terminate(int router) override { signalTo(router, SIGTERM); }
+    void reload(int router) override;
+
+    void routerReady(int router);
+    void dropClient(int router, ClientLink* link);
+    Address addressOf(int router, std::uint16_t port) const;
+    bool alive(int router) const { return processes_[static_cast<std::size_t>(router)] != nullptr; }
+
+    transport::Pool pool{kBuffers};
+    transport::Loop loop;
+    World world;
+    std::unordered_map<ConnId, std::unique_ptr<ServerLink>> serverLinks;
+    std::map<int, std::unique_ptr<ListLink>> listLinks;  // one call a router at a time
+    std::vector<std::list<std::unique_ptr<ClientLink>>> clients;
+
+  private:
+    struct DoorNow {
+        Door state = Door::refused;
+        std::unique_ptr<transport::Listener> listener;
+        std::unique_ptr<Wall> wall;
+    };
+    void claimNet();
+    void signalTo(int router, int number);
+    void writeConfiguration(int router);
+    nlohmann::json listJson(int router, const List& list) const;
+    void openDiscovery(int door);
+    void turn();
+    void childrenEnded();
+    void beginWorld();
+    void end();
+
+    const LiveWanted& wanted_;
+    std::uint64_t seed_;
+    std::uint32_t net_ = 0;  // the routers' addresses but for the last part
+    int claim_ = -1;
+    Nanos base_;
+    std::int64_t unixBaseMs_;
+    std::string folder_;
+    bool ownFolder_ = false;
+    std::vector<std::unique_ptr<Process>> processes_;
+    std::vector<std::unique_ptr<Ready>> ready_;
+    std::vector<std::vector<DoorNow>> doors_;
+    std::vector<std::unique_ptr<transport::Listener>> discovery_;
+    int discoveryDoor_ = 0;
+    std::set<int> readyOnes_;
+    bool begun_ = false, ending_ = false;
+    Ledger& ledger_;
+    Nanos worstLate_ = 0, lateUntil_ = 0;
+    long lateSpans_ = 0, allSpans_ = 0;
+    std::uint64_t starts_ = 0;
+    Nanos shown_ = 0;
+    LiveResult result_;
+    transport::Alarm step_;
+    transport::Alarm readyBy_;
+    std::string failure_;
+    std::unique_ptr<transport::Signal> child_, interrupt_, terminate_;
+};
+
+// ---- ServerLink
+
+ServerLink::ServerLink(Live& live, int router, int door)
+    : live_(live), router_(router), door_(door), connection_(live.loop, live.pool, *this) {}
+
+bool ServerLink::start(const std::function<bool(Connection&)>& finish) {
+    if (!finish(connection_)) return false;
+    id_ = live_.world.connect(live_.now(), router_, door_);
+    connection_.read(true);
+    return true;
+}
+
+void ServerLink::received(std::string_view bytes) {
+    const Nanos at = live_.arrived();
+    while (!bytes.empty()) {
+        if (door_ == 0) {
+            const auto state = http_.feed(bytes);
+            if (state == HttpCall::State::more) return;
+            if (state == HttpCall::State::broken) return ended();
+            Call call;
+            call.command = idOf(http_.id());
+            call.key = http_.path().substr(std::min<std::size_t>(http_.path().size(), 1));
+            call.verb = itemOf(http_.info(), "c");
+            call.mark = itemOf(http_.info(), "k");
+            call.write = http_.write();
+            http_.clear();
+            live_.world.call(at, id_, call);
+        } else {
+            const auto state = decoder_.feed(bytes);
+            if (state == protocol::Decoder::State::more) return;
+            if (state == protocol::Decoder::State::broken) return ended();
+            readRelay(decoder_.take());
+        }
+    }
+}
+
+void ServerLink::readRelay(const protocol::Value& value) {
+    const auto& words = value.items;
+    if (words.size() == 1 && words[0].text == "PING") return void(connection_.write("+PONG\r\n"));
+    const bool write = !words.empty() && words[0].text == "OBJ.SET";
+    if (words.size() != (write ? 5U : 4U) || (!write && words[0].text != "OBJ.GET"))
+        return void(connection_.write("-SYNTAX\r\n"));
+    live_.world.call(live_.arrived(), id_,
+                     {idOf(words[2].text), words[1].text, itemOf(words[3].text, "c"), itemOf(words[3].text, "k"), write});
+}
+
+void ServerLink::reply(const Reply& reply) {
+    using K = Reply::Kind;
+    std::string text;
+    if (door_ == 0) {
+        if (reply.kind == K::value) text = httpAnswer(200, "", reply.token);
+        if (reply.kind == K::error || reply.kind == K::miss) text = httpAnswer(500, "", "");
+        if (reply.kind == K::busy) text = httpAnswer(503, "X-Rejected: 1\r\n", "");
+        if (reply.kind == K::spoilt) text = "HTTQ/9.9 ???\r\n\r\n";
+    } else {
+        if (reply.kind == K::value)
+            text = "*3\r\n" + protocol::bulk(reply.token) + protocol::bulk("hit") + "$-1\r\n";
+        if (reply.kind == K::miss) text = "*3\r\n$-1\r\n" + protocol::bulk("miss") + "$-1\r\n";
+        if (reply.kind == K::error) text = "-ERR failed\r\n";
+        if (reply.kind == K::busy) text = "-BUSY\r\n";
+        if (reply.kind == K::spoilt) text = "$x9\r\n\x01\x02*\r\n";
+    }
+    connection_.write(text);
+}
+
+void ServerLink::ended() {
+    const ConnId id = id_;
+    Live& live = live_;
+    live.world.closed(live.now(), id);
+    live.serverLinks.erase(id);
+}
+
+// ---- ListLink
+
+ListLink::ListLink(Live& live, int router)
+    : live_(live), router_(router), connection_(live.loop, live.pool, *this) {}
+
+bool ListLink::start(const std::function<bool(Connection&)>& finish) {
+    if (!finish(connection_)) return false;
+    connection_.read(true);
+    return true;
+}
+
+void ListLink::received(std::string_view bytes) {
+    const auto state = http_.feed(bytes);
+    if (state == HttpCall::State::more) return;
+    if (state == HttpCall::State::broken) return ended();
+    const auto after = protocol::parse<std::int64_t>(http_.query("after"));
+    const auto wait = protocol::parse<std::int64_t>(http_.query("wait_ms")).value_or(0);
+    http_.clear();
+    live_.world.watch(live_.now(), router_, after, wait * kMillisecond);
+}
+
+void ListLink::say(const std::string& json) { connection_.write(httpAnswer(200, "", json)); }
+
+void ListLink::ended() {
+    Live& live = live_;
+    const int router = router_;
+    live.world.unwatch(router);
+    live.listLinks.erase(router);
+}
+
+// ---- ClientLink
+
+ClientLink::ClientLink(Live& live, int router)
+    : live_(live), router_(router), connection_(live.loop, live.pool, *this) {}
+
+bool ClientLink::open(const Address& to) { return connection_.open(to); }
+
+void ClientLink::send(const Ask& ask) {
+    ask_ = ask;
+    if (up_) write();
+}
+
+void ClientLink::write() {
+    const VerbPlan& verb = live_.world.scenario().verbs[static_cast<std::size_t>(ask_.verb)];
+    const auto& customers = live_.world.scenario().customers;
+    const Nanos left = std::max<Nanos>((ask_.giveUpAt - live_.now()) / kMillisecond, 1);
+    std::string info = fmt::format("c={},t={},d={}", verb.verb.name,
+                                   ask_.customer < 0 ? "none" : customers[static_cast<std::size_t>(ask_.customer)].name, left);
+    if (!ask_.mark.empty()) info += ",k=" + ask_.mark;
+    const std::string id = fmt::format("{:016x}", ask_.id);
+    std::vector<std::string_view> words{verb.write ? "OBJ.SET" : "OBJ.GET", ask_.key, id, info};
+    if (verb.write) words.push_back("value");
+    if (!connection_.write(protocol::command(words))) ended();
+}
+
+void ClientLink::opened(bool up) {
+    if (!up) return ended();
+    up_ = true;
+    connection_.read(true);
+    if (ask_.id) write();
+}
+
+void ClientLink::received(std::string_view bytes) {
+    while (!bytes.empty()) {
+        const auto state = decoder_.feed(bytes);
+        if (state == protocol::Decoder::State::more) return;
+        if (state == protocol::Decoder::State::broken || ask_.id == 0) return ended();
+        const protocol::Value value = decoder_.take();
+        const CommandId id = std::exchange(ask_.id, 0);
+        ++served_;
+        using K = protocol::Value::Kind;
+        Live& live = live_;
+        const Nanos at = live.now();
+        if (value.kind == K::bulk) {
+            live.world.told(at, id, World::Told::answered, value.text, 0);
+        } else if (value.kind == K::error && value.text.starts_with("BUSY")) {
+            const auto pause = value.text.size() > 5 ? protocol::parse<std::int64_t>(value.text.substr(5)) : std::nullopt;
+            live.world.told(at, id, World::Told::declined, "", pause.value_or(0) * kMillisecond);
+        } else {
+            live.world.told(at, id, World::Told::terminated, "", 0);
+        }
+    }
+}
+
+void ClientLink::ended() {
+    Live& live = live_;
+    const Ask ask = ask_;
+    // A connection that has been used may be closed just as its next command comes: that goes on a new one.
+    const bool again = ask.id && served_ > 0 && live.alive(router_);
+    const bool up = up_;
+    live.dropClient(router_, this);
+    if (again) return live.askOn(ask, true);
+    if (ask.id) live.world.told(live.now(), ask.id, World::Told::unsent, up ? "broken" : "", 0);
+}
+
+// ---- Ready
+
+Ready::Ready(Live& live, int router) : live_(live), router_(router), again_(live.loop, [this] { tryIt(); }) {
+    again_.set(transport::Loop::now() + kAskReady);
+}
+
+void Ready::tryIt() {
+    Connection::Owner& self = *this;
+    connection_ = std::make_unique<Connection>(live_.loop, live_.pool, self);
+    if (!connection_->open(live_.addressOf(router_, kRouterPort))) ended();
+}
+
+void Ready::opened(bool up) {
+    if (!up) return ended();
+    connection_->read(true);
+    if (!connection_->write("*1\r\n$4\r\nPING\r\n")) ended();
+}
+
+void Ready::received(std::string_view bytes) {
+    if (bytes.starts_with("+PONG")) live_.routerReady(router_);
+}
+
+void Ready::ended() {
+    connection_.reset();
+    again_.set(transport::Loop::now() + kAskReady);
+}
+
+// ---- Live
+
+Live::Live(const Scenario& scenario, std::uint64_t seed, Ledger& ledger, const LiveWanted& wanted)
+    : world(scenario, seed, ledger, *this),
+      clients(static_cast<std::size_t>(scenario.routers.count)),
+      wanted_(wanted),
+      seed_(seed),
+      base_(transport::Loop::now()),
+      unixBaseMs_(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()),
+      processes_(static_cast<std::size_t>(scenario.routers.count)),
+      ready_(static_cast<std::size_t>(scenario.routers.count)),
+      doors_(static_cast<std::size_t>(scenario.routers.count)),
+      ledger_(ledger),
+      step_(loop, [] {}),
+      readyBy_(loop, [this] {
+          failure_ = "a router did not answer PING in time";
+          loop.stop();
+      }) {
+    if (scenario.routers.count > 200) throw CannotRun("at most 200 routers on sockets");
+    rlimit files{};
+    getrlimit(RLIMIT_NOFILE, &files);
+    files.rlim_cur = files.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &files);
+    const auto needed = static_cast<std::size_t>(scenario.routers.count) * static_cast<std::size_t>(world.doors() + 8) * 3;
+    if (files.rlim_cur < needed)
+        throw CannotRun(fmt::format("the system gives {} descriptors, about {} are needed", files.rlim_cur, needed));
+    claimNet();
+    folder_ = wanted.folder;
+    if (folder_.empty()) {
+        folder_ = (std::filesystem::temp_directory_path() / fmt::format("poppylab-{}", ::getpid())).string();
+        ownFolder_ = true;
+    }
+    std::filesystem::create_directories(folder_);
+    for (int r = 0; r < scenario.routers.count; ++r) {
+        doors_[static_cast<std::size_t>(r)].resize(static_cast<std::size_t>(world.doors()));
+        for (int d = 0; d < world.doors(); ++d) door(r, d, Door::open);
+    }
+    openDiscovery(0);
+}
+
+Live::~Live() {
+    for (auto& p : processes_) p.reset();
+    ready_.clear();
+    clients.clear();
+    serverLinks.clear();
+    listLinks.clear();
+    if (claim_ >= 0) ::close(claim_);
+    std::error_code ignored;
+    if (ownFolder_) std::filesystem::remove_all(folder_, ignored);
+}
+
+// Several labs may run on one machine: each takes a net of its own within 127.0.0.0/8.
+void Live::claimNet() {
+    std::mt19937 draw(static_cast<unsigned>(::getpid()));
+    for (int tries = 0; tries < 200; ++tries) {
+        net_ = 127U << 24 | (64 + draw() % 64) << 16 | (draw() % 250 + 1) << 8;
+        claim_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const Address at = addressOf(252, kRouterPort);
+        if (::bind(claim_, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0) return;
+        ::close(std::exchange(claim_, -1));
+    }
+    throw CannotRun("found no free addresses on loopback");
+}
+
+Address Live::addressOf(int router, std::uint16_t port) const {
+    Address a{};
+    a.sin_family = AF_INET;
+    a.sin_addr.s_addr = htonl(net_ | static_cast<std::uint32_t>(router + 1));
+    a.sin_port = htons(port);
+    return a;
+}
+
+void Live::door(int router, int door, Door state) {
+    DoorNow& is = doors_.at(static_cast<std::size_t>(router)).at(static_cast<std::size_t>(door));
+    if (is.state == state) return;
+    is.state = state;
+    is.listener.reset();
+    is.wall.reset();
+    const Address at = addressOf(router, static_cast<std::uint16_t>(kServerPort + door));
+    if (state == Door::silent) is.wall = std::make_unique<Wall>(at);
+    if (state != Door::open) return;
+    is.listener = std::make_unique<transport::Listener>(loop, [this, router, door](const auto& finish) {
+        auto link = std::make_unique<ServerLink>(*this, router, door);
+        if (!link->start(finish)) return;
+        const ConnId id = link->id();
+        serverLinks[id] = std::move(link);
+    });
+    const std::string problem = is.listener->listen(at);
+    if (!problem.empty()) throw CannotRun(fmt::format("can't listen on {}: {}", textOf(at), problem));
+}
+
+void Live::openDiscovery(int door) {
+    discovery_.clear();
+    for (int r = 0; r < world.scenario().routers.count; ++r) {
+        discovery_.push_back(std::make_unique<transport::Listener>(loop, [this, r](const auto& finish) {
+            auto link = std::make_unique<ListLink>(*this, r);
+            if (link->start(finish)) listLinks[r] = std::move(link);
+        }));
+        const Address at = addressOf(r, static_cast<std::uint16_t>(kDiscoveryPort + door));
+        const std::string problem = discovery_.back()->listen(at);
+        if (!problem.empty()) throw CannotRun(fmt::format("can't listen on {}: {}", textOf(at), problem));
+    }
+    discoveryDoor_ = door;
+}
+
+void Live::discoveryMoved(int door) {
+    openDiscovery(door);
+    for (int r = 0; r < world.scenario().routers.count; ++r) {
+        reload(r);
+        world.at(now() + kOldDiscovery, [this, r, old = listLinks.contains(r) ? listLinks[r].get() : nullptr](Nanos) {
+            const auto it = listLinks.find(r);
+            if (old && it != listLinks.end() && it->second.get() == old) listLinks.erase(it);
+        });
+    }
+}
+
+nlohmann::json Live::listJson(int router, const List& list) const {
+    static constexpr const char* states[] = {"Gone", "Ready", "Terminating"};
+    auto servers = nlohmann::json::array();
+    for (const ListLine& line : list.lines) {
+        const World::Server& s = world.servers()[static_cast<std::size_t>(line.server)];
+        servers.push_back({{"id", s.name},
+                           {"addr", textOf(addressOf(router, static_cast<std::uint16_t>(kServerPort + s.door)))},
+                           {"zone", s.zone},
+                           {"kind", s.origin ? "origin" : "cache"},
+                           {"cell", s.cell},
+                           {"state", states[static_cast<int>(line.presence)]},
+                           {"weight", s.plan ? s.plan->cores * s.plan->speed : 1.0},
+                           {"started_ms", line.startedAt ? unixBaseMs_ + line.startedAt / kMillisecond : 0}});
+    }
+    return {{"version", list.version}, {"full", list.full}, {"servers", std::move(servers)}};
+}
+
+void Live::listed(int router, const List& list) {
+    const auto it = listLinks.find(router);
+    if (it != listLinks.end()) it->second->say(listJson(router, list).dump());
+}
+
+void Live::writeConfiguration(int router) {
+    const RouterPlace place{fmt::format("r{}", router), textOf(addressOf(router, kRouterPort)),
+                            textOf(addressOf(router, static_cast<std::uint16_t>(kDiscoveryPort + discoveryDoor_)))};
+    const auto json =
+        configurationOf(world.scenario(), place, seed_ * 1000 + ++starts_, listJson(router, world.lastList(router)));
+    const std::string path = fmt::format("{}/r{}.json", folder_, router);
+    std::ofstream(path + ".new") << json.dump(1) << '\n';
+    std::filesystem::rename(path + ".new", path);  // whoever reads it meanwhile has one whole file or the other
+}
+
+void Live::start(int router) {
+    auto& process = processes_[static_cast<std::size_t>(router)];
+    if (process || ending_) return;
+    writeConfiguration(router);
+    process = std::make_unique<Process>(
+        wanted_.program,
+        std::vector<std::pair<std::string, std::string>>{
+            {"ROUTER_CONFIG", fmt::format("{}/r{}.json", folder_, router)},
+            {"ROUTER_NAME", fmt::format("r{}", router)},
+            {"ROUTER_LISTEN", textOf(addressOf(router, kRouterPort))}},
+        fmt::format("{}/r{}.log", folder_, router));
+    ready_[static_cast<std::size_t>(router)] = std::make_unique<Ready>(*this, router);
+}
+
+void Live::routerReady(int router) {
+    // Within a call of its own connection: it goes with the next step.
+    world.at(now(), [this, router](Nanos) { ready_[static_cast<std::size_t>(router)].reset(); });
+    if (!alive(router)) return;
+    world.routerUp(now(), router);
+    if (begun_) return;
+    readyOnes_.insert(router);
+    if (readyOnes_.size() < ready_.size()) return;
+    readyBy_.clear();
+    beginWorld();
+}
+
+void Live::beginWorld() {
+    begun_ = true;
+    if (wanted_.serve) return wanted_.serve(textOf(addressOf(0, kRouterPort)));
+    lateUntil_ = now() + kLateSpan;
+    world.begin(now());
+}
+
+void Live::signalTo(int router, int number) {
+    if (auto& process = processes_[static_cast<std::size_t>(router)]) process->signal(number);
+}
+
+void Live::reload(int router) {
+    if (!alive(router)) return;
+    writeConfiguration(router);
+    signalTo(router, SIGHUP);
+}
+
+void Live::childrenEnded() {
+    for (std::size_t r = 0; r < processes_.size(); ++r) {
+        if (!processes_[r] || !processes_[r]->ended()) continue;
+        processes_[r].reset();
+        ready_[r].reset();
+        listLinks.erase(static_cast<int>(r));
+        if (!begun_) {
+            failure_ = fmt::format("router {} ended before it was ready; it said: {}", r,
+                                   lastLine(fmt::format("{}/r{}.log", folder_, r)));
+            return loop.stop();
+        }
+        // Clients' connections to it end by themselves; what the world still has of it is no more.
+        if (!ending_) world.routerGone(now(), static_cast<int>(r));
+    }
+}
+
+void Live::askOn(const Ask& ask, bool fresh) {
+    auto& links = clients[static_cast<std::size_t>(ask.router)];
+    if (!fresh)
+        for (auto it = links.begin(); it != links.end(); ++it)
+            if ((*it)->idle()) {
+                links.splice(links.begin(), links, it);
+                return links.front()->send(ask);
+            }
+    links.push_front(std::make_unique<ClientLink>(*this, ask.router));
+    ClientLink* const link = links.front().get();
+    link->send(ask);
+    if (link->open(addressOf(ask.router, kRouterPort))) return;
+    dropClient(ask.router, link);
+    world.at(now(), [this, id = ask.id](Nanos t) { world.told(t, id, World::Told::unsent, "", 0); });
+}
+
+void Live::dropClient(int router, ClientLink* link) {
+    clients[static_cast<std::size_t>(router)].remove_if([&](const auto& l) { return l.get() == link; });
+}
+
+void Live::leave(int router, CommandId id) {
+    for (auto& link : clients[static_cast<std::size_t>(router)])
+        if (link->asked() == id) return dropClient(router, link.get());
+}
+
+void Live::turn() {
+    const Nanos at = now();
+    if (begun_ && !ending_ && !wanted_.serve) {
+        worstLate_ = std::max(worstLate_, std::max<Nanos>(at - std::max(world.next(), lateUntil_ - kLateSpan), 0));
+        if (at >= lateUntil_) {
+            ledger_.add({at, What::late, 0, -1, -1, 0, worstLate_, {}});
+            ++allSpans_;
+            lateSpans_ += worstLate_ > kLateFrom;
+            worstLate_ = 0;
+            lateUntil_ = at + kLateSpan;
+        }
+    }
+    while (world.step(now())) {
+    }
+    if (begun_ && !ending_ && wanted_.progress && at - shown_ > kSecond) wanted_.progress(shown_ = at);
+    if (begun_ && !ending_ && !wanted_.serve && world.over(at)) return end();
+    step_.set(std::min(world.next(), at + kLateSpan) + base_);
+}
+
+void Live::end() {
+    ending_ = true;
+    for (auto& p : processes_) {
+        if (!p) continue;
+        result_.cpuSeconds += p->cpuSeconds();
+        result_.memoryMb = std::max(result_.memoryMb, p->memoryMb());
+    }
+    loop.stop();
+}
+
+LiveResult Live::run() {
+    child_ = std::make_unique<transport::Signal>(loop, SIGCHLD, [this] { childrenEnded(); });
+    const auto interrupted = [this] {
+        result_.interrupted = true;
+        end();
+    };
+    interrupt_ = std::make_unique<transport::Signal>(loop, SIGINT, interrupted);
+    terminate_ = std::make_unique<transport::Signal>(loop, SIGTERM, interrupted);
+    for (int r = 0; r < world.scenario().routers.count; ++r) start(r);
+    readyBy_.set(transport::Loop::now() + kReadyWithin);
+    loop.eachTurn([this] { turn(); });
+    loop.run();
+    if (!failure_.empty()) throw CannotRun(failure_);
+    result_.latePart = allSpans_ ? static_cast<double>(lateSpans_) / static_cast<double>(allSpans_) : 0;
+    return result_;
+}
+
+}  // namespace
+
+LiveResult playLive(const Scenario& scenario, std::uint64_t seed, Ledger& ledger, const LiveWanted& wanted) {
+    std::signal(SIGPIPE, SIG_IGN);
+    Live live(scenario, seed, ledger, wanted);
+    return live.run();
+}
+
+}  // namespace poppyscale::lab
--- /dev/null
+++ b/src/lab/live.hpp
@@ -0,0 +1,38 @@
+// The world behind real loopback sockets, round real router processes.
+#pragma once
+
+#include <functional>
+#include <stdexcept>
+#include <string>
+
+#include "lab/ledger.hpp"
+#include "lab/scenario.hpp"
+
+namespace poppyscale::lab {
+
+// The lab or the program that it plays could not be brought to run.
+struct CannotRun : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+struct LiveResult {
+    double latePart = 0;     // of all tenths of a second: those in which the lab was over 20 ms late
+    double cpuSeconds = 0;   // of all routers that lived to the end
+    double memoryMb = 0;     // of the one with the most, at the end
+    bool interrupted = false;
+};
+
+struct LiveWanted {
+    std::string program = "build/poppyscale";
+    std::string folder;  // for configurations and the routers' own logs
+    // Without clients of its own, until interrupted: `poppylab serve`. Called once all routers are up.
+    std::function<void(const std::string& firstRouter)> serve;
+    std::function<void(Nanos)> progress;
+};
+
+LiveResult playLive(const Scenario& scenario, std::uint64_t seed, Ledger& ledger, const LiveWanted& wanted);
+
+// By how much what two sockets tell may be read in the wrong order, for the audit.
+constexpr Nanos kLiveTolerance = 25 * kMillisecond;
+
+}  // namespace poppyscale::lab
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <filesystem>
+#include <functional>
 #include <iterator>
 #include <string>
 
@@ -14,6 +15,7 @@
 #include "lab/figures.hpp"
 #include "lab/judge.hpp"
 #include "lab/ledger.hpp"
+#include "lab/live.hpp"
 #include "lab/scenario.hpp"
 #include "lab/sim.hpp"
 
@@ -25,6 +27,8 @@
 constexpr int kKept = 0;
 constexpr int kBroken = 1;
 constexpr int kUsage = 2;
+constexpr int kLate = 3;
+constexpr double kLateMost = 0.05;  // of a run's tenths of a second, then it proves nothing
 
 struct Wanted {
     std::string file;
@@ -32,6 +36,7 @@
     double seconds = 0;
     int routers = 0;
     std::string out;
+    std::string program;
 };
 
 Scenario scenarioFor(const Wanted& wanted) {
@@ -50,17 +55,51 @@
     return wanted.out + "/log.tsv";
 }
 
+// Shown for what takes over five seconds, in whole lines where nobody watches.
+std::function<void(Nanos)> progressOf(const Scenario& s) {
+    if (s.length <= 5'000 * kMillisecond) return {};
+    return [length = s.length, shown = Nanos{0}](Nanos at) mutable {
+        const bool watched = isatty(fileno(stderr));
+        if (!watched && at - shown < 10'000 * kMillisecond) return;
+        shown = at;
+        fmt::print(stderr, "{}{} of {} s{}", watched ? "\r" : "", at / 1'000'000'000, length / 1'000'000'000,
+                   watched ? "  " : "\n");
+    };
+}
+
+int runIt(const Wanted& wanted) {
+    const Scenario s = scenarioFor(wanted);
+    Judge judge(kLiveTolerance);
+    LiveResult result;
+    {
+        Ledger ledger(logPath(wanted));
+        judge.follow(ledger);
+        LiveWanted live;
+        if (!wanted.program.empty()) live.program = wanted.program;
+        if (!wanted.out.empty()) live.folder = wanted.out;
+        live.progress = progressOf(s);
+        result = playLive(s, wanted.seed, ledger, live);
+    }
+    judge.extra("late_part", result.latePart);
+    judge.extra("cpu_s", result.cpuSeconds);
+    judge.extra("memory_mb", result.memoryMb);
+    const bool kept = judge.close(wanted.out);
+    if (result.interrupted) return kBroken;
+    if (result.latePart > kLateMost) {
+        fmt::print(stderr, "the lab ran late in {:.0f}% of all tenths of a second: this run proves nothing\n",
+                   100 * result.latePart);
+        return kLate;
+    }
+    return kept ? kKept : kBroken;
+}
+
 int simulateIt(const Wanted& wanted) {
     const Scenario s = scenarioFor(wanted);
     Judge judge;
     {
         Ledger ledger(logPath(wanted));
         judge.follow(ledger);
-        const auto progress = [&](Nanos at) {
-            if (s.length > 5'000 * kMillisecond && isatty(fileno(stderr)))
-                fmt::print(stderr, "\r{} s of {} s ", at / 1'000'000'000, s.length / 1'000'000'000);
-        };
-        const SimResult result = simulate(s, wanted.seed, ledger, progress);
+        const SimResult result = simulate(s, wanted.seed, ledger, progressOf(s));
         judge.extra("sim_pace", static_cast<double>(result.length) / 1e9 / std::max(result.wallSeconds, 1e-9));
     }
     return judge.close(wanted.out) ? kKept : kBroken;
@@ -80,6 +119,8 @@
         command->add_option("--out", wanted.out, "a folder for the log and the reports");
         return command;
     };
+    auto* run = plays(app.add_subcommand("run", "plays a scenario round real routers, on loopback sockets"));
+    run->add_option("--program", wanted.program, "the router's command line, build/poppyscale without it");
     auto* sim = plays(app.add_subcommand("sim", "plays a scenario round the decision module, in virtual time"));
     auto* audit = app.add_subcommand("audit", "judges a log again");
     std::string dir;
@@ -90,6 +131,7 @@
         return app.exit(problem) == 0 ? kKept : kUsage;
     }
     try {
+        if (*run) return runIt(wanted);
         if (*sim) return simulateIt(wanted);
         if (*audit) return judgeAgain(dir) ? kKept : kBroken;
     } catch (const std::exception& problem) {
--- /dev/null
+++ b/src/lab/process.hpp
@@ -0,0 +1,34 @@
+// A program that the lab starts: its own process group, gone at the latest with the lab itself.
+#pragma once
+
+#include <sys/types.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace poppyscale::lab {
+
+class Process {
+  public:
+    // Runs `command` by the shell with these variables added; what it says goes to the file `log`.
+    Process(const std::string& command, const std::vector<std::pair<std::string, std::string>>& variables,
+            const std::string& log);
+    ~Process();  // kills what is left of it
+    Process(const Process&) = delete;
+    Process& operator=(const Process&) = delete;
+
+    void signal(int number) const;
+    // Whether it has ended; asks the system once.
+    bool ended();
+    // CPU time that it has used so far, user and system, in seconds; 0 once it has ended.
+    double cpuSeconds() const;
+    // Resident memory in MB.
+    double memoryMb() const;
+
+  private:
+    pid_t pid_ = -1;
+    bool ended_ = false;
+};
+
+}  // namespace poppyscale::lab
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -810,6 +810,7 @@
             std::shuffle(all.begin(), all.end(), faults_.source());
             for (std::size_t i = 0; i < std::min(all.size(), nth(fault.count)); ++i) {
                 routers_[nth(all[i])].ending = true;
+                log(now, What::killed, 0, all[i], -1, 0, 0, "asked");
                 driver_.kill(all[i]);
             }
             break;
