--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The usual calls; CMake does the work. PACKAGES are Debian's.
 PACKAGES = libuv1-dev libhttp-parser-dev libfmt-dev nlohmann-json3-dev pkg-config doctest-dev \
-    libcli11-dev libtomlplusplus-dev
+    libcli11-dev libtomlplusplus-dev libxxhash-dev
 SOURCES = $(shell git ls-files 'src/*.cpp' 'src/*.hpp' 'tests/*.cpp' 'tests/*.hpp')
 
 .PHONY: build test lint run install-packages clean
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -9,6 +9,7 @@
 #include <filesystem>
 #include <functional>
 #include <iterator>
+#include <map>
 #include <string>
 
 #include "lab/audit.hpp"
@@ -16,6 +17,7 @@
 #include "lab/judge.hpp"
 #include "lab/ledger.hpp"
 #include "lab/live.hpp"
+#include "lab/proxy.hpp"
 #include "lab/scenario.hpp"
 #include "lab/sim.hpp"
 
@@ -122,6 +124,25 @@
     auto* run = plays(app.add_subcommand("run", "plays a scenario round real routers, on loopback sockets"));
     run->add_option("--program", wanted.program, "the router's command line, build/poppyscale without it");
     auto* sim = plays(app.add_subcommand("sim", "plays a scenario round the decision module, in virtual time"));
+    auto* proxy = app.add_subcommand("proxy", "a plain router to compare with, started as the router is");
+    Policy policy = Policy::rendezvous;
+    proxy->add_option("--policy", policy, "random, rendezvous, bounded-load or pass-through")
+        ->required()
+        ->transform(CLI::Transformer(std::map<std::string, Policy>{{"random", Policy::random},
+                                                                   {"rendezvous", Policy::rendezvous},
+                                                                   {"bounded-load", Policy::boundedLoad},
+                                                                   {"pass-through", Policy::passThrough}}));
+    auto* faulty = app.add_subcommand("fault-router", "a router that breaks one rule, to prove the audit by");
+    Defect defect = Defect::none;
+    faulty->add_option("rule", defect, "twice, lost, foreign, drain, cold, crash, or none")
+        ->required()
+        ->transform(CLI::Transformer(std::map<std::string, Defect>{{"none", Defect::none},
+                                                                   {"twice", Defect::twice},
+                                                                   {"lost", Defect::lost},
+                                                                   {"foreign", Defect::foreign},
+                                                                   {"drain", Defect::drain},
+                                                                   {"cold", Defect::cold},
+                                                                   {"crash", Defect::crash}}));
     auto* audit = app.add_subcommand("audit", "judges a log again");
     std::string dir;
     audit->add_option("dir", dir, "the folder of a run")->required();
@@ -132,6 +153,8 @@
     }
     try {
         if (*run) return runIt(wanted);
+        if (*proxy) return serveProxy(policy, Defect::none);
+        if (*faulty) return serveProxy(Policy::rendezvous, defect);
         if (*sim) return simulateIt(wanted);
         if (*audit) return judgeAgain(dir) ? kKept : kBroken;
     } catch (const std::exception& problem) {
