The lab compares, costs, reports and serves by hand; each broken rule is caught on sockets

Need: an experiment wants two routers on the same seeds and a word on noise; a run wants a page; a rule's audit wants a router that breaks it.

Change: `compare` plays two command lines in turn and judges paired differences by all their sign changes; `cost` sets CPU a command beside the pass-through proxy's; `--out` leaves report.json and report.html with plots by gnuplot; `serve` and `ask` are a deployment to try by hand.

--- a/src/lab/judge.cpp
+++ b/src/lab/judge.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <fstream>
 
+#include "lab/page.hpp"
+
 namespace poppyscale::lab {
 namespace {
 
@@ -53,14 +55,15 @@
         for (const Breach& b : breaches_)
             report["breaches"].push_back({{"rule", b.rule}, {"at_ns", b.at}, {"what", b.what}});
         std::ofstream(out + "/report.json") << report.dump(2) << '\n';
+        writePage(out, *figures_, report);
     }
     std::string line;
     auto figures = figures_->finish();
     figures.insert(figures.end(), extras_.begin(), extras_.end());
     for (const auto& [name, value] : figures)
-        line += fmt::format("{}{}={:.4g}", line.empty() ? "" : " ", name, value);
+        line += fmt::format("{}{}={:.6g}", line.empty() ? "" : " ", name, value);
     std::string all;
-    for (const auto& b : broken) all += " " + b;
+    for (const auto& b : broken) all.append(1, ' ').append(b);
     fmt::print("{}\nverdict: {}\n", line, broken.empty() ? "kept" : "broken:" + all);
     std::fflush(stdout);
     return broken.empty();
--- a/src/lab/live.cpp
+++ b/src/lab/live.cpp
@@ -696,8 +696,10 @@
         worstLate_ = std::max(worstLate_, std::max<Nanos>(at - std::max(world.next(), lateUntil_ - kLateSpan), 0));
         if (at >= lateUntil_) {
             ledger_.add({at, What::late, 0, -1, -1, 0, worstLate_, {}});
-            ++allSpans_;
-            lateSpans_ += worstLate_ > kLateFrom;
+            // Held up for long, one look covers many spans.
+            const long spans = (at - lateUntil_) / kLateSpan + 1;
+            allSpans_ += spans;
+            if (worstLate_ > kLateFrom) lateSpans_ += std::min<long>(spans, worstLate_ / kLateSpan + 1);
             worstLate_ = 0;
             lateUntil_ = at + kLateSpan;
         }
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -2,6 +2,7 @@
 #include <CLI/CLI.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <exception>
 #include <unistd.h>
@@ -11,14 +12,17 @@
 #include <iterator>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "lab/audit.hpp"
+#include "lab/experiment.hpp"
 #include "lab/figures.hpp"
 #include "lab/judge.hpp"
 #include "lab/ledger.hpp"
 #include "lab/live.hpp"
 #include "lab/proxy.hpp"
 #include "lab/scenario.hpp"
+#include "lab/serve.hpp"
 #include "lab/sim.hpp"
 
 namespace {
@@ -30,6 +34,7 @@
 constexpr int kBroken = 1;
 constexpr int kUsage = 2;
 constexpr int kLate = 3;
+constexpr const char* kRouter = "build/poppyscale";
 constexpr double kLateMost = 0.05;  // of a run's tenths of a second, then it proves nothing
 
 struct Wanted {
@@ -77,7 +82,7 @@
         Ledger ledger(logPath(wanted));
         judge.follow(ledger);
         LiveWanted live;
-        if (!wanted.program.empty()) live.program = wanted.program;
+        live.program = wanted.program;
         if (!wanted.out.empty()) live.folder = wanted.out;
         live.progress = progressOf(s);
         result = playLive(s, wanted.seed, ledger, live);
@@ -143,6 +148,28 @@
                                                                    {"drain", Defect::drain},
                                                                    {"cold", Defect::cold},
                                                                    {"crash", Defect::crash}}));
+    auto* comparing = app.add_subcommand("compare", "plays two routers on the same seeds in turn");
+    CompareWanted pair;
+    std::vector<std::string> files;
+    comparing->add_option("--a", pair.a, "a router's command line")->required();
+    comparing->add_option("--b", pair.b, "another's")->required();
+    comparing->add_option("-n", pair.plays, "plays of each a scenario")->check(CLI::Range(1, 20));
+    comparing->add_option("--figure", pair.figure, "what the verdict goes by");
+    comparing->add_option("--seconds", wanted.seconds, "instead of the scenarios' lengths");
+    comparing->add_option("--routers", wanted.routers, "instead of the scenarios' numbers")->check(CLI::Range(1, 200));
+    comparing->add_option("files", files, "the scenarios")->required();
+    auto* costing = plays(app.add_subcommand("cost", "CPU a command beside the pass-through proxy's"));
+    costing->add_option("--program", wanted.program, "the router's command line, build/poppyscale without it");
+    auto* serving = app.add_subcommand("serve", "a deployment to try a router with by hand");
+    serving->add_option("file", wanted.file, "the scenario, scenarios/calm.toml without it");
+    serving->add_option("--routers", wanted.routers, "one without it")->check(CLI::Range(1, 200));
+    serving->add_option("--program", wanted.program, "the router's command line, build/poppyscale without it");
+    auto* asking = app.add_subcommand("ask", "asks a router for a key, or writes one");
+    std::string address, verb;
+    std::vector<std::string> words;
+    asking->add_option("address", address, "ADDRESS:PORT")->required();
+    asking->add_option("words", words, "get KEY, or set KEY VALUE")->required();
+    asking->add_option("--verb", verb, "read for get, upload for set without it");
     auto* audit = app.add_subcommand("audit", "judges a log again");
     std::string dir;
     audit->add_option("dir", dir, "the folder of a run")->required();
@@ -152,7 +179,20 @@
         return app.exit(problem) == 0 ? kKept : kUsage;
     }
     try {
+        if (*comparing) {
+            std::vector<Scenario> scenarios;
+            for (const auto& file : files) scenarios.push_back(scenarioFor({file, 1, wanted.seconds, wanted.routers, "", ""}));
+            return compare(scenarios, pair) ? kKept : kBroken;
+        }
+        if (wanted.program.empty()) wanted.program = kRouter;
         if (*run) return runIt(wanted);
+        if (*costing) return cost(scenarioFor(wanted), wanted.seed, wanted.program, argv[0]), kKept;
+        if (*serving) {
+            if (wanted.file.empty()) wanted.file = "scenarios/calm.toml";
+            wanted.routers = std::max(wanted.routers, 1);
+            return serveByHand(scenarioFor(wanted), wanted.program), kKept;
+        }
+        if (*asking) return fmt::print("{}\n", askByHand(address, words, verb)), kKept;
         if (*proxy) return serveProxy(policy, Defect::none);
         if (*faulty) return serveProxy(Policy::rendezvous, defect);
         if (*sim) return simulateIt(wanted);
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -102,7 +102,7 @@
         for (const auto& [name, value] : names)
             if (name == said) return value;
         std::string all;
-        for (const auto& [name, value] : names) all += (all.empty() ? "" : ", ") + std::string(name);
+        for (const auto& [name, value] : names) all.append(all.empty() ? "" : ", ").append(name);
         fail(key, fmt::format("'{}' is none of {}", said, all));
     }
     std::vector<std::string> texts(std::string_view key) {
--- /dev/null
+++ b/src/lab/serve.hpp
@@ -0,0 +1,17 @@
+// A deployment to try a router with by hand.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "lab/scenario.hpp"
+
+namespace poppyscale::lab {
+
+// Plays the scenario's servers round its routers, without load or faults, until interrupted; says what comes.
+void serveByHand(const Scenario& scenario, const std::string& program);
+
+// Asks a router for a key, or writes it; the answer in words. Throws CannotRun when there is none.
+std::string askByHand(const std::string& address, const std::vector<std::string>& words, const std::string& verb);
+
+}  // namespace poppyscale::lab
