--- a/Makefile
+++ b/Makefile
@@ -1,15 +1,19 @@
 # The usual calls; CMake does the work. PACKAGES are Debian's.
-PACKAGES = libuv1-dev libhttp-parser-dev libfmt-dev nlohmann-json3-dev pkg-config doctest-dev \
-    libcli11-dev libtomlplusplus-dev libxxhash-dev
+PACKAGES = g++ cmake make libuv1-dev libhttp-parser-dev libfmt-dev nlohmann-json3-dev pkg-config doctest-dev \
+    libcli11-dev libtomlplusplus-dev libxxhash-dev gnuplot-nox
 SOURCES = $(shell git ls-files 'src/*.cpp' 'src/*.hpp' 'tests/*.cpp' 'tests/*.hpp')
 
-.PHONY: build test lint run install-packages clean
+.PHONY: build test demo lint run install-packages clean
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release
-	cmake --build build -j4
+	cmake --build build -j8
 
-test:
+demo: install-packages build
+	build/poppylab run scenarios/demo.toml --program build/poppyscale --out demo-report
+	@echo "the report: demo-report/report.html"
+
+test: install-packages
 	cmake -B build-test -DPOPPYSCALE_TESTS=ON -DCMAKE_BUILD_TYPE=Debug
 	cmake --build build-test -j8
 	ctest --test-dir build-test --output-on-failure
@@ -23,7 +27,7 @@
 	ROUTER_CONFIG=$${ROUTER_CONFIG:-examples/config.json} build/poppyscale
 
 install-packages:
-	apt-get install -y $(PACKAGES)
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || { apt-get update -qq && apt-get install -y -qq $(PACKAGES); }
 
 clean:
-	rm -rf build build-test
+	rm -rf build build-test demo-report
--- a/src/lab/audit.cpp
+++ b/src/lab/audit.cpp
@@ -22,8 +22,8 @@
       span_(head.at("cold").at("span").get<Nanos>()),
       ramp_(head.at("cold").at("ramp").get<Nanos>()) {
     for (const auto& v : head.at("verbs"))
-        verbs_.push_back({v.at("name").get<std::string>(), v.at("effect").get<int>(), v.at("group").get<int>(),
-                          v.at("remembered").get<Nanos>()});
+        verbs_.push_back({v.at("name").get<std::string>(), v.at("effect").get<int>(),
+                          v.at("group").get<int>(), v.at("remembered").get<Nanos>()});
 }
 
 void Audit::breach(const char* rule, const Entry& entry, std::string what) {
@@ -55,9 +55,13 @@
         case What::server: {
             if (e.server != static_cast<int>(servers_.size()))
                 throw BadLedger(fmt::format("server {} out of order", e.server));
-            servers_.push_back({text(wordAt(e.text, 0)), text(wordAt(e.text, 1)), text(wordAt(e.text, 2)),
-                                wordAt(e.text, 3) == "origin", std::atof(text(wordAt(e.text, 4)).c_str()),
-                                e.number, {}});
+            servers_.push_back({text(wordAt(e.text, 0)),
+                                text(wordAt(e.text, 1)),
+                                text(wordAt(e.text, 2)),
+                                wordAt(e.text, 3) == "origin",
+                                std::atof(text(wordAt(e.text, 4)).c_str()),
+                                e.number,
+                                {}});
             break;
         }
         case What::asked: {
@@ -68,7 +72,8 @@
             c.router = e.router;
             c.askedAt = e.at;
             c.limit = e.number;
-            if (!commands_.emplace(e.command, std::move(c)).second) throw BadLedger("one command asked twice");
+            if (!commands_.emplace(e.command, std::move(c)).second)
+                throw BadLedger("one command asked twice");
             break;
         }
         case What::answered:
@@ -84,7 +89,8 @@
             // A router that is there owes an answer to what reaches it.
             if (Command* const c = commandOf(e)) {
                 const auto gone = goneAt_.find(c->router);
-                if (gone == goneAt_.end()) breach("lost", e, "its router was there and took it, or ended it, without an answer");
+                if (gone == goneAt_.end())
+                    breach("lost", e, "its router was there and took it, or ended it, without an answer");
                 c->left = true;
             }
             break;
@@ -108,8 +114,10 @@
                     // A receipted one may run again where its mark is not known, within what is allowed: that
                     // is judged by where it was sent.
                     else if (r.began && c->verb->effect == 2)
-                        breach("twice", e, fmt::format("took effect at {} and at {}", servers_.at(static_cast<std::size_t>(r.server)).name,
-                                                       servers_.at(static_cast<std::size_t>(e.server)).name));
+                        breach("twice", e,
+                               fmt::format("took effect at {} and at {}",
+                                           servers_.at(static_cast<std::size_t>(r.server)).name,
+                                           servers_.at(static_cast<std::size_t>(e.server)).name));
                 }
             }
             break;
@@ -120,7 +128,8 @@
                 if (how == "value") r->token = wordAt(e.text, 1);
                 r->neverRan = how == "busy" || how == "miss";
                 const Server& s = servers_.at(static_cast<std::size_t>(r->server));
-                if (how == "miss" && s.startedAt > 0 && e.at - s.startedAt < ramp_) commandOf(e)->missedCold = true;
+                if (how == "miss" && s.startedAt > 0 && e.at - s.startedAt < ramp_)
+                    commandOf(e)->missedCold = true;
             }
             break;
         case What::closed:
@@ -177,7 +186,8 @@
     final(e, *c);
     for (const Run& r : c->runs)
         if (!r.token.empty() && r.token == e.text) return;
-    breach("foreign", e, fmt::format("answered with '{}', which no server gave for it", e.text.substr(0, 40)));
+    breach("foreign", e,
+           fmt::format("answered with '{}', which no server gave for it", e.text.substr(0, 40)));
 }
 
 void Audit::declined(const Entry& e) {
@@ -194,8 +204,9 @@
     Server& s = servers_.at(index);
     const auto told = told_.find({e.router, e.server});
     if (told != told_.end() && told->second.awayAt >= 0 && e.at > told->second.awayAt + grace_ + tolerance_)
-        breach("drain", e, fmt::format("sent to {} {} ms after router {} was told it leaves", s.name,
-                                       (e.at - told->second.awayAt) / kMillisecond, e.router));
+        breach("drain", e,
+               fmt::format("sent to {} {} ms after router {} was told it leaves", s.name,
+                           (e.at - told->second.awayAt) / kMillisecond, e.router));
     Command* const c = commandOf(e);
     const bool knew = told != told_.end() && told->second.startedAt == s.startedAt;
     s.recent.push_back({e.at, static_cast<double>(e.number), s.origin ? c && c->missedCold : knew});
@@ -211,7 +222,8 @@
         const bool same = c->verb->group == 0 || (c->verb->group == 1 && before.zone == s.zone) ||
                           (c->verb->group == 2 && before.cell == s.cell);
         if (!same || e.at > earlier.sentAt + c->verb->remembered + tolerance_) {
-            breach("twice", e, fmt::format("sent to {} where what ran at {} is not known", s.name, before.name));
+            breach("twice", e,
+                   fmt::format("sent to {} where what ran at {} is not known", s.name, before.name));
             break;
         }
     }
@@ -228,8 +240,9 @@
     }
     const double part = s.origin ? 0.5 : 2.0 / 3;
     if (all > 0 && counted >= part * all)
-        breach("cold", e, fmt::format("{} went down, {:.0f}% of its work from {}", s.name, 100 * counted / all,
-                                      s.origin ? "misses at cold caches" : "routers that knew of its start"));
+        breach("cold", e,
+               fmt::format("{} went down, {:.0f}% of its work from {}", s.name, 100 * counted / all,
+                           s.origin ? "misses at cold caches" : "routers that knew of its start"));
     s.recent.clear();
 }
 
--- a/src/lab/audit.hpp
+++ b/src/lab/audit.hpp
@@ -1,5 +1,5 @@
-// The four rules, judged from a log alone. Shares nothing with the router or the module: what is written here of
-// a rule is written a second time on purpose.
+// The four rules, judged from a log alone. Shares nothing with the router or the module: what is written here
+// of a rule is written a second time on purpose.
 #pragma once
 
 #include <deque>
@@ -91,7 +91,7 @@
     std::unordered_map<std::uint64_t, Command> commands_;
     std::vector<Server> servers_;
     std::map<std::pair<int, int>, Told> told_;
-    std::map<int, Nanos> goneAt_;      // routers: when last killed or told to stop
+    std::map<int, Nanos> goneAt_;  // routers: when last killed or told to stop
     std::vector<Breach> breaches_;
 };
 
--- a/src/lab/chance.hpp
+++ b/src/lab/chance.hpp
@@ -13,7 +13,8 @@
 
 class Chance {
   public:
-    explicit Chance(std::uint64_t seed) : source_(static_cast<std::mt19937::result_type>(seed ^ (seed >> 32))) {}
+    explicit Chance(std::uint64_t seed)
+        : source_(static_cast<std::mt19937::result_type>(seed ^ (seed >> 32))) {}
 
     double part() { return std::generate_canonical<double, 32>(source_); }
     bool yes(double share) { return share > 0 && part() < share; }
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -12,9 +12,9 @@
 namespace poppyscale::lab {
 namespace {
 
-constexpr double kLevel = 0.05;      // of a wrong "differs" over all scenarios of a comparison together
+constexpr double kLevel = 0.05;  // of a wrong "differs" over all scenarios of a comparison together
 constexpr std::size_t kMostExact = 20;
-constexpr int kLateTries = 2;        // a play that the lab spoilt is played again
+constexpr int kLateTries = 2;  // a play that the lab spoilt is played again
 constexpr double kLatePart = 0.05;
 
 double median(std::vector<double> all) {
@@ -73,8 +73,8 @@
 bool compare(const std::vector<Scenario>& scenarios, const CompareWanted& wanted) {
     const double level = kLevel / static_cast<double>(scenarios.size());
     if (2 * std::pow(0.5, wanted.plays) > level)
-        fmt::print("{} plays can't tell a difference from noise over {} scenarios: {} are needed\n", wanted.plays,
-                   scenarios.size(), static_cast<int>(std::ceil(std::log2(2 / level))));
+        fmt::print("{} plays can't tell a difference from noise over {} scenarios: {} are needed\n",
+                   wanted.plays, scenarios.size(), static_cast<int>(std::ceil(std::log2(2 / level))));
     bool same = true;
     for (const Scenario& s : scenarios) {
         std::vector<Played> a, b;
@@ -88,16 +88,17 @@
             late += a.back().late + b.back().late;
             fmt::print(stderr, "{}: {} of {} plays\n", s.name, i + 1, wanted.plays);
         }
-        fmt::print("{}\n  {:<14}{:>10}{:>10}{:>10}{:>10}\n", s.name, "figure", "a", "b", "spread a", "spread b");
+        fmt::print("{}\n  {:<14}{:>10}{:>10}{:>10}{:>10}\n", s.name, "figure", "a", "b", "spread a",
+                   "spread b");
         const auto column = [](const std::vector<Played>& plays, const std::string& name) {
             std::vector<double> all;
             for (const Played& p : plays) all.push_back(p.of(name));
             return all;
         };
-        for (const char* name : {"utility", "goal", "answered", "declined", "terminated", "p50_ms", "p99_ms", "relays",
-                                 "hits", "origin_mean", "cpu_us"})
-            fmt::print("  {:<14}{:>10.4g}{:>10.4g}{:>10.2g}{:>10.2g}\n", name, median(column(a, name)), median(column(b, name)),
-                       spread(column(a, name)), spread(column(b, name)));
+        for (const char* name : {"utility", "goal", "answered", "declined", "terminated", "p50_ms", "p99_ms",
+                                 "relays", "hits", "origin_mean", "cpu_us"})
+            fmt::print("  {:<14}{:>10.4g}{:>10.4g}{:>10.2g}{:>10.2g}\n", name, median(column(a, name)),
+                       median(column(b, name)), spread(column(a, name)), spread(column(b, name)));
         int brokenA = 0, brokenB = 0;
         for (const Played& p : a) brokenA += !p.broken.empty();
         for (const Played& p : b) brokenB += !p.broken.empty();
@@ -107,8 +108,9 @@
         const double chance = chanceOf(differences);
         const bool differs = chance < level;
         same &= !differs;
-        fmt::print("  not kept       {:>10}{:>10}\n  {}: b - a = {:+.4f}, by chance {:.3f}: {}{}\n", brokenA, brokenB, wanted.figure,
-                   median(differences), chance, differs ? "more than noise" : "no difference beyond noise",
+        fmt::print("  not kept       {:>10}{:>10}\n  {}: b - a = {:+.4f}, by chance {:.3f}: {}{}\n", brokenA,
+                   brokenB, wanted.figure, median(differences), chance,
+                   differs ? "more than noise" : "no difference beyond noise",
                    late ? fmt::format(" ({} plays late)", late) : "");
         std::fflush(stdout);
     }
@@ -119,8 +121,8 @@
     const Played router = playOnce(scenario, seed, program);
     const Played proxy = playOnce(scenario, seed, lab + " proxy --policy pass-through");
     const double ratio = router.of("cpu_us") / std::max(proxy.of("cpu_us"), 1e-9);
-    fmt::print("router_us={:.1f} proxy_us={:.1f} ratio={:.3f} router_relays={:.3f} proxy_relays={:.3f}\n", router.of("cpu_us"),
-               proxy.of("cpu_us"), ratio, router.of("relays"), proxy.of("relays"));
+    fmt::print("router_us={:.1f} proxy_us={:.1f} ratio={:.3f} router_relays={:.3f} proxy_relays={:.3f}\n",
+               router.of("cpu_us"), proxy.of("cpu_us"), ratio, router.of("relays"), proxy.of("relays"));
 }
 
 }  // namespace poppyscale::lab
--- a/src/lab/figures.cpp
+++ b/src/lab/figures.cpp
@@ -14,7 +14,8 @@
 
 double Times::ms(double part) {
     if (all_.empty()) return 0;
-    const auto rank = std::min(static_cast<std::size_t>(part * static_cast<double>(all_.size())), all_.size() - 1);
+    const auto rank =
+        std::min(static_cast<std::size_t>(part * static_cast<double>(all_.size())), all_.size() - 1);
     const auto at = all_.begin() + static_cast<std::ptrdiff_t>(rank);
     std::nth_element(all_.begin(), at, all_.end());
     return static_cast<double>(*at) / 1e6;
@@ -134,7 +135,8 @@
             {"hits", share(static_cast<double>(hits_), static_cast<double>(reads_))},
             {"busy", share(static_cast<double>(busy_), static_cast<double>(relays_))},
             {"errors", share(static_cast<double>(errors_), static_cast<double>(relays_))},
-            {"origin_mean", capacities_.empty() || length <= 0 ? 0 : originWork_ / kNanos / capacities_[0] / length}};
+            {"origin_mean",
+             capacities_.empty() || length <= 0 ? 0 : originWork_ / kNanos / capacities_[0] / length}};
     for (std::size_t v = 0; v < verbNames_.size(); ++v)
         all_.emplace_back("goal_" + verbNames_[v], share(inGoalOfVerb_[v], perVerb_[v]));
     if (lateness_.count() > 0) {
--- a/src/lab/figures.hpp
+++ b/src/lab/figures.hpp
@@ -67,8 +67,8 @@
     std::vector<double> capacities_;
     std::vector<int> perVerb_, inGoalOfVerb_;
     Times times_, lateness_;
-    long asked_ = 0, answered_ = 0, inGoal_ = 0, tries_ = 0, declined_ = 0, terminated_ = 0, relays_ = 0, hits_ = 0,
-         reads_ = 0, busy_ = 0, errors_ = 0, unsent_ = 0, silent_ = 0;
+    long asked_ = 0, answered_ = 0, inGoal_ = 0, tries_ = 0, declined_ = 0, terminated_ = 0, relays_ = 0,
+         hits_ = 0, reads_ = 0, busy_ = 0, errors_ = 0, unsent_ = 0, silent_ = 0;
     double originWork_ = 0, utility_ = 0, utilityMost_ = 0;
     Nanos lastAt_ = 0;
     std::vector<std::pair<std::string, double>> all_;
--- a/src/lab/http_call.cpp
+++ b/src/lab/http_call.cpp
@@ -64,22 +64,22 @@
     return HTTP_PARSER_ERRNO(&parser_) == HPE_OK ? State::more : State::broken;
 }
 
-std::string HttpCall::query(std::string_view name) const {
+std::string_view HttpCall::query(std::string_view name) const {
     std::string_view rest = path_;
     const auto mark = rest.find('?');
     rest.remove_prefix(mark == std::string_view::npos ? rest.size() : mark + 1);
     while (!rest.empty()) {
         const auto item = rest.substr(0, rest.find('&'));
         if (item.starts_with(name) && item.size() > name.size() && item[name.size()] == '=')
-            return std::string(item.substr(name.size() + 1));
+            return item.substr(name.size() + 1);
         rest.remove_prefix(std::min(rest.size(), item.size() + 1));
     }
-    return "";
+    return {};
 }
 
 std::string httpAnswer(int status, std::string_view extra, std::string_view body) {
-    return fmt::format("HTTP/1.1 {} {}\r\n{}Content-Length: {}\r\n\r\n{}", status, status == 200 ? "OK" : "No", extra,
-                       body.size(), body);
+    return fmt::format("HTTP/1.1 {} {}\r\n{}Content-Length: {}\r\n\r\n{}", status,
+                       status == 200 ? "OK" : "No", extra, body.size(), body);
 }
 
 }  // namespace poppyscale::lab
--- a/src/lab/http_call.hpp
+++ b/src/lab/http_call.hpp
@@ -22,7 +22,7 @@
     bool write() const { return parser_.method == HTTP_PUT; }
     const std::string& path() const { return path_; }
     // A value of the part behind '?', "" without one.
-    std::string query(std::string_view name) const;
+    std::string_view query(std::string_view name) const;
     const std::string& id() const { return id_; }
     const std::string& info() const { return info_; }
 
--- a/src/lab/judge.cpp
+++ b/src/lab/judge.cpp
@@ -44,8 +44,8 @@
 bool Judge::close(const std::string& out) {
     const auto broken = verdict();
     for (std::size_t i = 0; i < std::min(breaches_.size(), kShown); ++i)
-        fmt::print(stderr, "{} at {:.3f} s: {}\n", breaches_[i].rule, static_cast<double>(breaches_[i].at) / 1e9,
-                   breaches_[i].what);
+        fmt::print(stderr, "{} at {:.3f} s: {}\n", breaches_[i].rule,
+                   static_cast<double>(breaches_[i].at) / 1e9, breaches_[i].what);
     if (breaches_.size() > kShown) fmt::print(stderr, "and {} more\n", breaches_.size() - kShown);
     if (!out.empty()) {
         auto report = figures_->json();
--- a/src/lab/ledger.hpp
+++ b/src/lab/ledger.hpp
@@ -1,5 +1,6 @@
-// The append-only log of a run: what happened at the clients, on the way and at the servers, and nothing of what
-// a router believes. One line an entry, columns set apart by tabs; the audit and the figures read nothing else.
+// The append-only log of a run: what happened at the clients, on the way and at the servers, and nothing of
+// what a router believes. One line an entry, columns set apart by tabs; the audit and the figures read
+// nothing else.
 #pragma once
 
 #include <cstdint>
@@ -20,9 +21,9 @@
 };
 
 enum class What : std::uint8_t {
-    server,    // there is one: text "NAME ZONE CELL origin|cache SPEED", number its start, 0 for long ago
-    asked,     // a client gave a command to a router: text "VERB CUSTOMER KEY FIRST TRY", number its limit's time,
-               // run the time it was due
+    server,  // there is one: text "NAME ZONE CELL origin|cache SPEED", number its start, 0 for long ago
+    asked,   // a client gave a command to a router: text "VERB CUSTOMER KEY FIRST TRY", number its limit's
+            // time, run the time it was due
     answered,  // text the value's token
     declined,  // number the pause it was told
     terminated,
@@ -36,12 +37,12 @@
     broke,   // the server or the network did
     listed,  // a router was told of a server: text its state, number its start
     started,
-    fell,     // a server that was overdriven stops
-    killed,   // a router, for good or for a time
+    fell,      // a server that was overdriven stops
+    killed,    // a router, for good or for a time
     stopping,  // SIGTERM to a router
-    up,       // a router can be reached
-    fault,    // text "begins|ends KIND ..."
-    late      // number: how late the lab was, at its worst in the last while
+    up,        // a router can be reached
+    fault,     // text "begins|ends KIND ..."
+    late       // number: how late the lab was, at its worst in the last while
 };
 
 struct Entry {
--- a/src/lab/live.cpp
+++ b/src/lab/live.cpp
@@ -77,7 +77,8 @@
         fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const int yes = 1;
         ::setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
-        if (::bind(fd_, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 || ::listen(fd_, 0) != 0) return;
+        if (::bind(fd_, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 || ::listen(fd_, 0) != 0)
+            return;
         for (int& plug : plugs_) {
             plug = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
             ::connect(plug, reinterpret_cast<const sockaddr*>(&at), sizeof at);
@@ -306,8 +307,9 @@
     const bool write = !words.empty() && words[0].text == "OBJ.SET";
     if (words.size() != (write ? 5U : 4U) || (!write && words[0].text != "OBJ.GET"))
         return void(connection_.write("-SYNTAX\r\n"));
-    live_.world.call(live_.arrived(), id_,
-                     {idOf(words[2].text), words[1].text, itemOf(words[3].text, "c"), itemOf(words[3].text, "k"), write});
+    live_.world.call(
+        live_.arrived(), id_,
+        {idOf(words[2].text), words[1].text, itemOf(words[3].text, "c"), itemOf(words[3].text, "k"), write});
 }
 
 void ServerLink::reply(const Reply& reply) {
@@ -382,8 +384,9 @@
     const VerbPlan& verb = live_.world.scenario().verbs[static_cast<std::size_t>(ask_.verb)];
     const auto& customers = live_.world.scenario().customers;
     const Nanos left = std::max<Nanos>((ask_.giveUpAt - live_.now()) / kMillisecond, 1);
-    std::string info = fmt::format("c={},t={},d={}", verb.verb.name,
-                                   ask_.customer < 0 ? "none" : customers[static_cast<std::size_t>(ask_.customer)].name, left);
+    std::string info = fmt::format(
+        "c={},t={},d={}", verb.verb.name,
+        ask_.customer < 0 ? "none" : customers[static_cast<std::size_t>(ask_.customer)].name, left);
     if (!ask_.mark.empty()) info += ",k=" + ask_.mark;
     const std::string id = fmt::format("{:016x}", ask_.id);
     std::vector<std::string_view> words{verb.write ? "OBJ.SET" : "OBJ.GET", ask_.key, id, info};
@@ -412,7 +415,8 @@
         if (value.kind == K::bulk) {
             live.world.told(at, id, World::Told::answered, value.text, 0);
         } else if (value.kind == K::error && value.text.starts_with("BUSY")) {
-            const auto pause = value.text.size() > 5 ? protocol::parse<std::int64_t>(value.text.substr(5)) : std::nullopt;
+            const auto pause =
+                value.text.size() > 5 ? protocol::parse<std::int64_t>(value.text.substr(5)) : std::nullopt;
             live.world.told(at, id, World::Told::declined, "", pause.value_or(0) * kMillisecond);
         } else {
             live.world.told(at, id, World::Told::terminated, "", 0);
@@ -466,7 +470,9 @@
       wanted_(wanted),
       seed_(seed),
       base_(transport::Loop::now()),
-      unixBaseMs_(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()),
+      unixBaseMs_(std::chrono::duration_cast<std::chrono::milliseconds>(
+                      std::chrono::system_clock::now().time_since_epoch())
+                      .count()),
       processes_(static_cast<std::size_t>(scenario.routers.count)),
       ready_(static_cast<std::size_t>(scenario.routers.count)),
       doors_(static_cast<std::size_t>(scenario.routers.count)),
@@ -481,9 +487,11 @@
     getrlimit(RLIMIT_NOFILE, &files);
     files.rlim_cur = files.rlim_max;
     setrlimit(RLIMIT_NOFILE, &files);
-    const auto needed = static_cast<std::size_t>(scenario.routers.count) * static_cast<std::size_t>(world.doors() + 8) * 3;
+    const auto needed =
+        static_cast<std::size_t>(scenario.routers.count) * static_cast<std::size_t>(world.doors() + 8) * 3;
     if (files.rlim_cur < needed)
-        throw CannotRun(fmt::format("the system gives {} descriptors, about {} are needed", files.rlim_cur, needed));
+        throw CannotRun(
+            fmt::format("the system gives {} descriptors, about {} are needed", files.rlim_cur, needed));
     claimNet();
     folder_ = wanted.folder;
     if (folder_.empty()) {
@@ -493,7 +501,7 @@
     std::filesystem::create_directories(folder_);
     for (int r = 0; r < scenario.routers.count; ++r) {
         doors_[static_cast<std::size_t>(r)].resize(static_cast<std::size_t>(world.doors()));
-        for (int d = 0; d < world.doors(); ++d) door(r, d, Door::open);
+        for (int d = 0; d < world.doors(); ++d) Live::door(r, d, Door::open);
     }
     openDiscovery(0);
 }
@@ -567,10 +575,11 @@
     openDiscovery(door);
     for (int r = 0; r < world.scenario().routers.count; ++r) {
         reload(r);
-        world.at(now() + kOldDiscovery, [this, r, old = listLinks.contains(r) ? listLinks[r].get() : nullptr](Nanos) {
-            const auto it = listLinks.find(r);
-            if (old && it != listLinks.end() && it->second.get() == old) listLinks.erase(it);
-        });
+        world.at(now() + kOldDiscovery,
+                 [this, r, old = listLinks.contains(r) ? listLinks[r].get() : nullptr](Nanos) {
+                     const auto it = listLinks.find(r);
+                     if (old && it != listLinks.end() && it->second.get() == old) listLinks.erase(it);
+                 });
     }
 }
 
@@ -579,14 +588,15 @@
     auto servers = nlohmann::json::array();
     for (const ListLine& line : list.lines) {
         const World::Server& s = world.servers()[static_cast<std::size_t>(line.server)];
-        servers.push_back({{"id", s.name},
-                           {"addr", textOf(addressOf(router, static_cast<std::uint16_t>(kServerPort + s.door)))},
-                           {"zone", s.zone},
-                           {"kind", s.origin ? "origin" : "cache"},
-                           {"cell", s.cell},
-                           {"state", states[static_cast<int>(line.presence)]},
-                           {"weight", s.plan ? s.plan->cores * s.plan->speed : 1.0},
-                           {"started_ms", line.startedAt ? unixBaseMs_ + line.startedAt / kMillisecond : 0}});
+        servers.push_back(
+            {{"id", s.name},
+             {"addr", textOf(addressOf(router, static_cast<std::uint16_t>(kServerPort + s.door)))},
+             {"zone", s.zone},
+             {"kind", s.origin ? "origin" : "cache"},
+             {"cell", s.cell},
+             {"state", states[static_cast<int>(line.presence)]},
+             {"weight", s.plan ? s.plan->cores * s.plan->speed : 1.0},
+             {"started_ms", line.startedAt ? unixBaseMs_ + line.startedAt / kMillisecond : 0}});
     }
     return {{"version", list.version}, {"full", list.full}, {"servers", std::move(servers)}};
 }
@@ -597,26 +607,27 @@
 }
 
 void Live::writeConfiguration(int router) {
-    const RouterPlace place{fmt::format("r{}", router), textOf(addressOf(router, kRouterPort)),
-                            textOf(addressOf(router, static_cast<std::uint16_t>(kDiscoveryPort + discoveryDoor_)))};
-    const auto json =
-        configurationOf(world.scenario(), place, seed_ * 1000 + ++starts_, listJson(router, world.lastList(router)));
+    const RouterPlace place{
+        fmt::format("r{}", router), textOf(addressOf(router, kRouterPort)),
+        textOf(addressOf(router, static_cast<std::uint16_t>(kDiscoveryPort + discoveryDoor_)))};
+    const auto json = configurationOf(world.scenario(), place, seed_ * 1000 + ++starts_,
+                                      listJson(router, world.lastList(router)));
     const std::string path = fmt::format("{}/r{}.json", folder_, router);
     std::ofstream(path + ".new") << json.dump(1) << '\n';
-    std::filesystem::rename(path + ".new", path);  // whoever reads it meanwhile has one whole file or the other
+    std::filesystem::rename(path + ".new",
+                            path);  // whoever reads it meanwhile has one whole file or the other
 }
 
 void Live::start(int router) {
     auto& process = processes_[static_cast<std::size_t>(router)];
     if (process || ending_) return;
     writeConfiguration(router);
-    process = std::make_unique<Process>(
-        wanted_.program,
-        std::vector<std::pair<std::string, std::string>>{
-            {"ROUTER_CONFIG", fmt::format("{}/r{}.json", folder_, router)},
-            {"ROUTER_NAME", fmt::format("r{}", router)},
-            {"ROUTER_LISTEN", textOf(addressOf(router, kRouterPort))}},
-        fmt::format("{}/r{}.log", folder_, router));
+    process = std::make_unique<Process>(wanted_.program,
+                                        std::vector<std::pair<std::string, std::string>>{
+                                            {"ROUTER_CONFIG", fmt::format("{}/r{}.json", folder_, router)},
+                                            {"ROUTER_NAME", fmt::format("r{}", router)},
+                                            {"ROUTER_LISTEN", textOf(addressOf(router, kRouterPort))}},
+                                        fmt::format("{}/r{}.log", folder_, router));
     ready_[static_cast<std::size_t>(router)] = std::make_unique<Ready>(*this, router);
 }
 
@@ -693,7 +704,8 @@
 void Live::turn() {
     const Nanos at = now();
     if (begun_ && !ending_ && !wanted_.serve) {
-        worstLate_ = std::max(worstLate_, std::max<Nanos>(at - std::max(world.next(), lateUntil_ - kLateSpan), 0));
+        worstLate_ =
+            std::max(worstLate_, std::max<Nanos>(at - std::max(world.next(), lateUntil_ - kLateSpan), 0));
         if (at >= lateUntil_) {
             ledger_.add({at, What::late, 0, -1, -1, 0, worstLate_, {}});
             // Held up for long, one look covers many spans.
--- a/src/lab/live.hpp
+++ b/src/lab/live.hpp
@@ -16,9 +16,9 @@
 };
 
 struct LiveResult {
-    double latePart = 0;     // of all tenths of a second: those in which the lab was over 20 ms late
-    double cpuSeconds = 0;   // of all routers that lived to the end
-    double memoryMb = 0;     // of the one with the most, at the end
+    double latePart = 0;    // of all tenths of a second: those in which the lab was over 20 ms late
+    double cpuSeconds = 0;  // of all routers that lived to the end
+    double memoryMb = 0;    // of the one with the most, at the end
     bool interrupted = false;
 };
 
--- a/src/lab/machine.hpp
+++ b/src/lab/machine.hpp
@@ -28,7 +28,8 @@
         Nanos until;
     };
     bool full() const {
-        return running_ >= static_cast<int>(shape_.cores) && static_cast<int>(waiting_.size()) >= shape_.queue;
+        return running_ >= static_cast<int>(shape_.cores) &&
+               static_cast<int>(waiting_.size()) >= shape_.queue;
     }
     // Only if it isn't full. `work` in core-ns at speed 1.
     void take(std::uint64_t job, double work) { waiting_.push_back({job, work}); }
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -1,12 +1,11 @@
 // poppylab: a stand-in deployment with load, faults and an audit of every command.
-#include <CLI/CLI.hpp>
 #include <fmt/format.h>
+#include <unistd.h>
 
+#include <CLI/CLI.hpp>
 #include <algorithm>
 #include <cstdio>
 #include <exception>
-#include <unistd.h>
-
 #include <filesystem>
 #include <functional>
 #include <iterator>
@@ -107,7 +106,8 @@
         Ledger ledger(logPath(wanted));
         judge.follow(ledger);
         const SimResult result = simulate(s, wanted.seed, ledger, progressOf(s));
-        judge.extra("sim_pace", static_cast<double>(result.length) / 1e9 / std::max(result.wallSeconds, 1e-9));
+        judge.extra("sim_pace",
+                    static_cast<double>(result.length) / 1e9 / std::max(result.wallSeconds, 1e-9));
     }
     return judge.close(wanted.out) ? kKept : kBroken;
 }
@@ -122,13 +122,15 @@
         command->add_option("file", wanted.file, "the scenario")->required();
         command->add_option("--seed", wanted.seed, "everything drawn follows from it");
         command->add_option("--seconds", wanted.seconds, "instead of the scenario's length");
-        command->add_option("--routers", wanted.routers, "instead of the scenario's number")->check(CLI::Range(1, 1000));
+        command->add_option("--routers", wanted.routers, "instead of the scenario's number")
+            ->check(CLI::Range(1, 1000));
         command->add_option("--out", wanted.out, "a folder for the log and the reports");
         return command;
     };
     auto* run = plays(app.add_subcommand("run", "plays a scenario round real routers, on loopback sockets"));
     run->add_option("--program", wanted.program, "the router's command line, build/poppyscale without it");
-    auto* sim = plays(app.add_subcommand("sim", "plays a scenario round the decision module, in virtual time"));
+    auto* sim =
+        plays(app.add_subcommand("sim", "plays a scenario round the decision module, in virtual time"));
     auto* proxy = app.add_subcommand("proxy", "a plain router to compare with, started as the router is");
     Policy policy = Policy::rendezvous;
     proxy->add_option("--policy", policy, "random, rendezvous, bounded-load or pass-through")
@@ -156,14 +158,17 @@
     comparing->add_option("-n", pair.plays, "plays of each a scenario")->check(CLI::Range(1, 20));
     comparing->add_option("--figure", pair.figure, "what the verdict goes by");
     comparing->add_option("--seconds", wanted.seconds, "instead of the scenarios' lengths");
-    comparing->add_option("--routers", wanted.routers, "instead of the scenarios' numbers")->check(CLI::Range(1, 200));
+    comparing->add_option("--routers", wanted.routers, "instead of the scenarios' numbers")
+        ->check(CLI::Range(1, 200));
     comparing->add_option("files", files, "the scenarios")->required();
     auto* costing = plays(app.add_subcommand("cost", "CPU a command beside the pass-through proxy's"));
-    costing->add_option("--program", wanted.program, "the router's command line, build/poppyscale without it");
+    costing->add_option("--program", wanted.program,
+                        "the router's command line, build/poppyscale without it");
     auto* serving = app.add_subcommand("serve", "a deployment to try a router with by hand");
     serving->add_option("file", wanted.file, "the scenario, scenarios/calm.toml without it");
     serving->add_option("--routers", wanted.routers, "one without it")->check(CLI::Range(1, 200));
-    serving->add_option("--program", wanted.program, "the router's command line, build/poppyscale without it");
+    serving->add_option("--program", wanted.program,
+                        "the router's command line, build/poppyscale without it");
     auto* asking = app.add_subcommand("ask", "asks a router for a key, or writes one");
     std::string address, verb;
     std::vector<std::string> words;
@@ -181,7 +186,8 @@
     try {
         if (*comparing) {
             std::vector<Scenario> scenarios;
-            for (const auto& file : files) scenarios.push_back(scenarioFor({file, 1, wanted.seconds, wanted.routers, "", ""}));
+            for (const auto& file : files)
+                scenarios.push_back(scenarioFor({file, 1, wanted.seconds, wanted.routers, "", ""}));
             return compare(scenarios, pair) ? kKept : kBroken;
         }
         if (wanted.program.empty()) wanted.program = kRouter;
--- a/src/lab/page.cpp
+++ b/src/lab/page.cpp
@@ -50,11 +50,13 @@
         }
         std::sort(relays.begin(), relays.end());
         const auto rank = [&](double part) {
-            return relays.empty() ? 0 : relays[static_cast<std::size_t>(part * static_cast<double>(relays.size() - 1))];
+            return relays.empty()
+                       ? 0
+                       : relays[static_cast<std::size_t>(part * static_cast<double>(relays.size() - 1))];
         };
-        out << fmt::format("{} {} {} {} {} {} {} {} {} {} {} {} {}\n", at, s.asked, s.answered, s.declined, s.terminated,
-                           s.times.ms(0.5), s.times.ms(0.99), s.times.ms(0.999), rank(0), rank(0.5), rank(1),
-                           s.originLoad, s.misses);
+        out << fmt::format("{} {} {} {} {} {} {} {} {} {} {} {} {}\n", at, s.asked, s.answered, s.declined,
+                           s.terminated, s.times.ms(0.5), s.times.ms(0.99), s.times.ms(0.999), rank(0),
+                           rank(0.5), rank(1), s.originLoad, s.misses);
         at += 1;
     }
 }
@@ -63,37 +65,49 @@
     std::string marks;
     for (const auto& m : figures.marks()) {
         const bool begins = m.text.starts_with("begins");
-        marks += fmt::format("set arrow from first {0}, graph 0 to first {0}, graph 1 nohead lc rgb '{1}' dt {2} lw 1\n",
-                             m.at, begins ? "#b03030" : "#308030", begins ? 1 : 2);
+        marks += fmt::format(
+            "set arrow from first {0}, graph 0 to first {0}, graph 1 nohead lc rgb '{1}' dt {2} lw 1\n", m.at,
+            begins ? "#b03030" : "#308030", begins ? 1 : 2);
         if (begins)
-            marks += fmt::format("set label '{}' at first {}, graph 0.97 rotate by 90 right font ',8' tc rgb '#b03030'\n",
-                                 escaped(m.text.substr(7)), m.at + 0.2);
+            marks += fmt::format(
+                "set label '{}' at first {}, graph 0.97 rotate by 90 right font ',8' tc rgb '#b03030'\n",
+                escaped(m.text.substr(7)), m.at + 0.2);
     }
     const auto plot = [&](const char* name, const char* title, const char* set, const std::string& lines) {
-        return fmt::format("set output '{}/{}.svg'\nset title '{}'\n{}\nplot {}\n", folder, name, title, set, lines);
+        return fmt::format("set output '{}/{}.svg'\nset title '{}'\n{}\nplot {}\n", folder, name, title, set,
+                           lines);
     };
     const std::string data = fmt::format("'{}/plot.dat'", folder);
     std::string script =
-        "set terminal svg noenhanced size 920,260 dynamic font 'sans,10'\nset key outside right top\nset grid lc rgb '#dddddd'\n"
-        "set xlabel 's'\nset xrange [0:*]\nset style data lines\n" + marks;
-    script += plot("answers", "Answers a second", "set yrange [0:*]",
-                   fmt::format("{0} u 1:2 t 'asked' lc rgb '#999999', {0} u 1:3 t 'answered' lw 2 lc rgb '#2060a0', "
-                               "{0} u 1:4 t 'declined' lc rgb '#d08020', {0} u 1:5 t 'terminated' lc rgb '#b03030'", data));
+        "set terminal svg noenhanced size 920,260 dynamic font 'sans,10'\nset key outside right top\nset "
+        "grid lc rgb '#dddddd'\n"
+        "set xlabel 's'\nset xrange [0:*]\nset style data lines\n" +
+        marks;
+    script += plot(
+        "answers", "Answers a second", "set yrange [0:*]",
+        fmt::format("{0} u 1:2 t 'asked' lc rgb '#999999', {0} u 1:3 t 'answered' lw 2 lc rgb '#2060a0', "
+                    "{0} u 1:4 t 'declined' lc rgb '#d08020', {0} u 1:5 t 'terminated' lc rgb '#b03030'",
+                    data));
     script += plot("times", "Time from when a command was due, ms", "set logscale y\nset yrange [1:*]",
                    fmt::format("{0} u 1:6 t 'p50' lw 2 lc rgb '#2060a0', {0} u 1:7 t 'p99' lc rgb '#d08020', "
-                               "{0} u 1:8 t 'p99.9' lc rgb '#b03030'", data));
-    script += plot("relays", "Relays a second at a cache", "unset logscale y\nset yrange [0:*]",
-                   fmt::format("{0} u 1:9 t 'least' lc rgb '#999999', {0} u 1:10 t 'median' lw 2 lc rgb '#2060a0', "
-                               "{0} u 1:11 t 'most' lc rgb '#b03030'", data));
-    script += plot("origin", "Load at the origin, of its capacity", "set yrange [0:1.2<*]",
-                   fmt::format("{0} u 1:12 t 'load' lw 2 lc rgb '#2060a0', 1 t 'capacity' dt 2 lc rgb '#b03030'", data));
+                               "{0} u 1:8 t 'p99.9' lc rgb '#b03030'",
+                               data));
+    script +=
+        plot("relays", "Relays a second at a cache", "unset logscale y\nset yrange [0:*]",
+             fmt::format("{0} u 1:9 t 'least' lc rgb '#999999', {0} u 1:10 t 'median' lw 2 lc rgb '#2060a0', "
+                         "{0} u 1:11 t 'most' lc rgb '#b03030'",
+                         data));
+    script += plot(
+        "origin", "Load at the origin, of its capacity", "set yrange [0:1.2<*]",
+        fmt::format("{0} u 1:12 t 'load' lw 2 lc rgb '#2060a0', 1 t 'capacity' dt 2 lc rgb '#b03030'", data));
     return script;
 }
 
 bool draw(const std::string& folder, Figures& figures) {
     writeData(folder + "/plot.dat", figures);
     std::ofstream(folder + "/plot.gp") << scriptOf(folder, figures);
-    const int code = std::system(fmt::format("gnuplot '{}/plot.gp' >'{}/plot.err' 2>&1", folder, folder).c_str());
+    const int code =
+        std::system(fmt::format("gnuplot '{}/plot.gp' >'{}/plot.err' 2>&1", folder, folder).c_str());
     return WIFEXITED(code) && WEXITSTATUS(code) == 0;
 }
 
@@ -110,9 +124,10 @@
     const bool kept = report.at("verdict") == "kept";
     std::string broken;
     for (const auto& rule : report.at("broken")) broken.append(1, ' ').append(rule.get<std::string>());
-    page += fmt::format("<h1>{}, seed {}</h1><p class=\"{}\"><b>Verdict: {}{}</b></p>",
-                        escaped(report.at("scenario").get<std::string>()), report.at("seed").get<std::uint64_t>(),
-                        kept ? "kept" : "broken", kept ? "kept" : "broken:", escaped(broken));
+    page +=
+        fmt::format("<h1>{}, seed {}</h1><p class=\"{}\"><b>Verdict: {}{}</b></p>",
+                    escaped(report.at("scenario").get<std::string>()), report.at("seed").get<std::uint64_t>(),
+                    kept ? "kept" : "broken", kept ? "kept" : "broken:", escaped(broken));
     if (report.contains("breaches")) {
         page += "<h2>Breaches</h2><ul>";
         std::size_t shown = 0;
@@ -121,7 +136,8 @@
                 page += fmt::format("<li>{} at {:.3f} s: {}</li>", escaped(b.at("rule").get<std::string>()),
                                     static_cast<double>(b.at("at_ns").get<Nanos>()) / 1e9,
                                     escaped(b.at("what").get<std::string>()));
-        page += shown > kMostBreaches ? fmt::format("<li>and {} more</li></ul>", shown - kMostBreaches) : "</ul>";
+        page +=
+            shown > kMostBreaches ? fmt::format("<li>and {} more</li></ul>", shown - kMostBreaches) : "</ul>";
     }
     page += "<h2>Over time</h2><p>Red lines: a fault begins; dashed green: it ends.</p>";
     for (const char* name : {"answers", "times", "relays", "origin"}) {
--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -16,8 +16,8 @@
 
 namespace poppyscale::lab {
 
-Process::Process(const std::string& command, const std::vector<std::pair<std::string, std::string>>& variables,
-                 const std::string& log) {
+Process::Process(const std::string& command,
+                 const std::vector<std::pair<std::string, std::string>>& variables, const std::string& log) {
     // All that allocates is done before the fork.
     std::vector<std::string> held;
     for (char** at = environ; *at; ++at) {
--- a/src/lab/proxy.cpp
+++ b/src/lab/proxy.cpp
@@ -201,7 +201,8 @@
         if (state == protocol::HttpAnswer::State::more) return;
         if (state == protocol::HttpAnswer::State::broken) return over({}, false);
         const int status = http_.status();
-        protocol::Outcome outcome{status == 200 ? Ending::answered : Ending::errored, std::move(http_.body()), true};
+        protocol::Outcome outcome{status == 200 ? Ending::answered : Ending::errored, std::move(http_.body()),
+                                  true};
         if (http_.neverRan()) outcome.ending = Ending::noRoom;
         const bool keep = http_.keepsOpen();
         http_.clear();
@@ -280,10 +281,12 @@
 // ---- ListWatch
 
 ListWatch::ListWatch(Proxy& proxy)
-    : proxy_(proxy), again_(proxy.loop, [this] {
-          connection_.reset();
-          call();
-      }),
+    : proxy_(proxy),
+      again_(proxy.loop,
+             [this] {
+                 connection_.reset();
+                 call();
+             }),
       version_(proxy.start.known.version) {}
 
 void ListWatch::call() {
@@ -299,8 +302,8 @@
 void ListWatch::opened(bool up) {
     if (!up) return ended();
     connection_->read(true);
-    connection_->write(fmt::format("GET /api/targets?after={}&wait_ms={} HTTP/1.1\r\nHost: d\r\n\r\n", version_,
-                                   kWatch / kMillisecond));
+    connection_->write(fmt::format("GET /api/targets?after={}&wait_ms={} HTTP/1.1\r\nHost: d\r\n\r\n",
+                                   version_, kWatch / kMillisecond));
 }
 
 void ListWatch::received(std::string_view bytes) {
@@ -401,7 +404,8 @@
     double out = 0;
     for (auto& [name, place] : places_) {
         if (place.origin && place.presence == Presence::ready) origin = &place;
-        const bool usable = place.presence == Presence::ready || (defect_ == Defect::drain && place.presence == Presence::draining);
+        const bool usable = place.presence == Presence::ready ||
+                            (defect_ == Defect::drain && place.presence == Presence::draining);
         if (place.origin || !usable) continue;
         if (std::find(held.tried.begin(), held.tried.end(), &place) != held.tried.end()) continue;
         ready.push_back(&place);
@@ -418,9 +422,11 @@
     if (policy_ == Policy::random) return ready[chance_() % ready.size()];
     if (policy_ == Policy::passThrough) return ready[++turn_ % ready.size()];
     const auto weight = [&](const Place* p) {
-        return XXH3_64bits_withSeed(held.said.key.data(), held.said.key.size(), XXH3_64bits(p->name.data(), p->name.size()));
+        return XXH3_64bits_withSeed(held.said.key.data(), held.said.key.size(),
+                                    XXH3_64bits(p->name.data(), p->name.size()));
     };
-    std::sort(ready.begin(), ready.end(), [&](const Place* a, const Place* b) { return weight(a) > weight(b); });
+    std::sort(ready.begin(), ready.end(),
+              [&](const Place* a, const Place* b) { return weight(a) > weight(b); });
     if (policy_ == Policy::boundedLoad) {
         const double most = kBound * (out + 1) / static_cast<double>(ready.size());
         for (Place* p : ready)
@@ -464,7 +470,9 @@
     ++to->out;
     const Nanos wait = held.giveUpAt - now;
     const bool fresh = !back->up();
-    back->send(id, to->origin ? protocol::originCall(held.said, "origin") : protocol::cacheCommand(held.said, wait), held.giveUpAt);
+    back->send(
+        id, to->origin ? protocol::originCall(held.said, "origin") : protocol::cacheCommand(held.said, wait),
+        held.giveUpAt);
     if (fresh && backs.contains(back) && !back->open()) back->fail();
 }
 
@@ -474,7 +482,8 @@
     Held& held = it->second;
     if (outcome.ending == Ending::answered) {
         // Once more, where it may not be: after its answer, so that nothing else of it looks odd.
-        if (defect_ == Defect::twice && held.effect == Effect::effectful && !std::exchange(held.again, true)) {
+        if (defect_ == Defect::twice && held.effect == Effect::effectful &&
+            !std::exchange(held.again, true)) {
             held.tried.clear();
             return relay(id, held);
         }
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -1,6 +1,7 @@
 #include "lab/scenario.hpp"
 
 #include <fmt/format.h>
+#include <toml++/toml.h>
 
 #include <algorithm>
 #include <array>
@@ -11,7 +12,6 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
-#include <toml++/toml.h>
 
 namespace poppyscale::lab {
 namespace {
@@ -56,7 +56,8 @@
     [[noreturn]] void fail(std::string_view key, const std::string& what) const {
         const toml::node* const node = table_.get(key);
         const auto line = node ? node->source().begin.line : table_.source().begin.line;
-        throw BadScenario(fmt::format("{}:{}: {}: {}", file_, std::max<std::uint32_t>(line, 1), below(key), what));
+        throw BadScenario(
+            fmt::format("{}:{}: {}: {}", file_, std::max<std::uint32_t>(line, 1), below(key), what));
     }
 
     double real(std::string_view key, std::optional<double> otherwise, double least = 0, double most = 1e12) {
@@ -256,12 +257,10 @@
 void readLoad(Table& t, LoadPlan& l) {
     using Shape = LoadPlan::Shape;
     l.perSecond = t.real("per_second", std::nullopt, 0.1, 1e6);
-    l.shape = t.word<Shape>("shape",
-                            {{"steady", Shape::steady},
-                             {"bursty", Shape::bursty},
-                             {"ramp", Shape::ramp},
-                             {"wave", Shape::wave}},
-                            Shape::steady);
+    l.shape = t.word<Shape>(
+        "shape",
+        {{"steady", Shape::steady}, {"bursty", Shape::bursty}, {"ramp", Shape::ramp}, {"wave", Shape::wave}},
+        Shape::steady);
     l.swing = t.part("swing", l.shape == Shape::steady ? 0.0 : 0.3);
     l.period = std::max<Nanos>(t.millis("period_ms", 5'000.0), kMillisecond);
     l.keys = t.whole("keys", 5'000, 1);
@@ -332,8 +331,8 @@
     for (const VerbPlan& v : s.verbs) shares += v.share;
     if (shares <= 0) t.fail("verbs", "their shares add up to nothing");
     t.each("customers", false, [&](Table& c) {
-        s.customers.push_back({c.text("name", std::nullopt), c.real("share", std::nullopt),
-                               c.real("quota", std::nullopt)});
+        s.customers.push_back(
+            {c.text("name", std::nullopt), c.real("share", std::nullopt), c.real("quota", std::nullopt)});
     });
     double customers = 0;
     for (const CustomerPlan& c : s.customers) customers += c.share;
@@ -429,8 +428,8 @@
                  {"utility", v.verb.utility},
                  {"lateUtility", v.verb.lateUtility}};
         if (v.verb.effect == Effect::receipted) {
-            one["group"] = wordFor<Group>(
-                {{Group::all, "all"}, {Group::zone, "zone"}, {Group::cell, "cell"}}, v.verb.group);
+            one["group"] = wordFor<Group>({{Group::all, "all"}, {Group::zone, "zone"}, {Group::cell, "cell"}},
+                                          v.verb.group);
             one["keyTtlUs"] = us(v.verb.remembered);
         }
         verbs.push_back(std::move(one));
@@ -456,14 +455,14 @@
                     {"tipMultiple", s.cold.tip}}},
                   {"verbs", std::move(verbs)}};
     if (!customers.empty()) settings["orgs"] = std::move(customers);
-    return {{"name", place.name},
-            {"listen", place.listen},
-            {"discovery", place.discovery},
-            {"seed", fmt::format("{:016x}", seed)},
-            {"limits",
-             {{"cores", 1.0}, {"memory_mb", s.routers.memoryMb}, {"sockets", s.routers.descriptors}}},
-            {"known", known},
-            {"settings", std::move(settings)}};
+    return {
+        {"name", place.name},
+        {"listen", place.listen},
+        {"discovery", place.discovery},
+        {"seed", fmt::format("{:016x}", seed)},
+        {"limits", {{"cores", 1.0}, {"memory_mb", s.routers.memoryMb}, {"sockets", s.routers.descriptors}}},
+        {"known", known},
+        {"settings", std::move(settings)}};
 }
 
 }  // namespace poppyscale::lab
--- a/src/lab/scenario.hpp
+++ b/src/lab/scenario.hpp
@@ -1,4 +1,5 @@
-// A scenario: the deployment, the load, the faults and what must hold, as the TOML files in scenarios/ say it.
+// A scenario: the deployment, the load, the faults and what must hold, as the TOML files in scenarios/ say
+// it.
 #pragma once
 
 #include <nlohmann/json_fwd.hpp>
@@ -143,9 +144,9 @@
 };
 
 struct Bounds {
-    double goal = 0;        // share of commands answered within their goal, at least
-    double answered = 0;    // within their limit
-    double relays = 1e9;    // a command, at most
+    double goal = 0;          // share of commands answered within their goal, at least
+    double answered = 0;      // within their limit
+    double relays = 1e9;      // a command, at most
     double originMean = 1e9;  // fetches and writes a second at the origin over its capacity, at most
 };
 
--- a/src/lab/serve.cpp
+++ b/src/lab/serve.cpp
@@ -30,17 +30,20 @@
     LiveWanted wanted;
     wanted.program = program;
     wanted.serve = [](const std::string& router) {
-        fmt::print("serving; routers from {} on. Try: poppylab ask {} get plum\nCtrl-C ends it.\n", router, router);
+        fmt::print("serving; routers from {} on. Try: poppylab ask {} get plum\nCtrl-C ends it.\n", router,
+                   router);
         std::fflush(stdout);
     };
     playLive(scenario, 1, ledger, wanted);
 }
 
-std::string askByHand(const std::string& address, const std::vector<std::string>& words, const std::string& verb) {
+std::string askByHand(const std::string& address, const std::vector<std::string>& words,
+                      const std::string& verb) {
     const auto to = transport::parseAddress(address);
     if (!to) throw CannotRun(address + " is not an address and port");
     const bool write = words.size() == 3 && words[0] == "set";
-    if (!write && (words.size() != 2 || words[0] != "get")) throw CannotRun("expected get KEY or set KEY VALUE");
+    if (!write && (words.size() != 2 || words[0] != "get"))
+        throw CannotRun("expected get KEY or set KEY VALUE");
     std::random_device random;
     const std::string id = fmt::format("{:08x}{:08x}", random(), random());
     std::string info = fmt::format("c={},t=none,d=2000", verb.empty() ? (write ? "upload" : "read") : verb);
--- a/src/lab/serve.hpp
+++ b/src/lab/serve.hpp
@@ -12,6 +12,7 @@
 void serveByHand(const Scenario& scenario, const std::string& program);
 
 // Asks a router for a key, or writes it; the answer in words. Throws CannotRun when there is none.
-std::string askByHand(const std::string& address, const std::vector<std::string>& words, const std::string& verb);
+std::string askByHand(const std::string& address, const std::vector<std::string>& words,
+                      const std::string& verb);
 
 }  // namespace poppyscale::lab
--- a/src/lab/sim.cpp
+++ b/src/lab/sim.cpp
@@ -103,7 +103,9 @@
 class Play : public Driver {
   public:
     Play(const Scenario& scenario, std::uint64_t seed, Ledger& ledger)
-        : seed(seed), world(scenario, seed, ledger, *this), routers_(static_cast<std::size_t>(scenario.routers.count)) {}
+        : seed(seed),
+          world(scenario, seed, ledger, *this),
+          routers_(static_cast<std::size_t>(scenario.routers.count)) {}
 
     void run(const std::function<void(Nanos)>& progress) {
         const Scenario& s = world.scenario();
--- a/src/lab/sim.hpp
+++ b/src/lab/sim.hpp
@@ -9,7 +9,7 @@
 namespace poppyscale::lab {
 
 struct SimResult {
-    Nanos length = 0;       // of the scenario's time
+    Nanos length = 0;        // of the scenario's time
     double wallSeconds = 0;  // that it took
 };
 
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -22,7 +22,8 @@
 
 // What a server's process is and what ails it.
 struct World::Host {
-    Host(const Machine::Shape& shape, std::size_t keys, Nanos span) : machine(shape), kept(keys), drive(span) {}
+    Host(const Machine::Shape& shape, std::size_t keys, Nanos span)
+        : machine(shape), kept(keys), drive(span) {}
     Machine machine;
     Kept kept;
     Drive drive;
@@ -121,7 +122,8 @@
 void World::addServer(Server server, Nanos now, bool cold) {
     Machine::Shape shape;
     if (server.origin)
-        shape = {scenario_.origin.cores, scenario_.origin.speed, scenario_.origin.queue, scenario_.origin.thrash};
+        shape = {scenario_.origin.cores, scenario_.origin.speed, scenario_.origin.queue,
+                 scenario_.origin.thrash};
     else
         shape = {server.plan->cores, server.plan->speed, server.plan->queue, 0};
     const std::size_t keys = server.origin ? 1 : nth(server.plan->keys);
@@ -129,8 +131,8 @@
     const auto index = static_cast<int>(servers_.size());
     hosts_.push_back(std::make_unique<Host>(shape, keys, std::max<Nanos>(scenario_.cold.fallSpan, 1)));
     log(now, What::server, 0, -1, index, 0, server.startedAt,
-        fmt::format("{} {} {} {} {}", server.name, server.zone, server.cell, server.origin ? "origin" : "cache",
-                    shape.cores * shape.speed));
+        fmt::format("{} {} {} {} {}", server.name, server.zone, server.cell,
+                    server.origin ? "origin" : "cache", shape.cores * shape.speed));
     lines_.push_back({index, cold ? Presence::gone : Presence::ready, server.startedAt});
     servers_.push_back(std::move(server));
 }
@@ -177,7 +179,8 @@
     const LoadPlan& l = scenario_.load;
     // Places that change hands: as many as are due by now.
     const auto due = static_cast<int>(l.drift * l.keys * static_cast<double>(now - beganAt_) / 1e9);
-    for (; drifted_ < due; ++drifted_) std::swap(order_[nth(keys_.below(l.keys))], order_[nth(keys_.below(l.keys))]);
+    for (; drifted_ < due; ++drifted_)
+        std::swap(order_[nth(keys_.below(l.keys))], order_[nth(keys_.below(l.keys))]);
     const int rank = zipf_.draw(keys_);
     const double which = keys_.part();
     if (which < now_.hotKey) return "hot";
@@ -228,7 +231,8 @@
     const CommandId id = a.id;
     const std::string customer = a.customer < 0 ? "-" : scenario_.customers[nth(a.customer)].name;
     log(now, What::asked, id, a.router, -1, static_cast<std::uint64_t>(a.dueAt), a.giveUpAt,
-        fmt::format("{} {} {} {:x} {}", scenario_.verbs[nth(a.verb)].verb.name, customer, a.key, a.first, a.tries));
+        fmt::format("{} {} {} {:x} {}", scenario_.verbs[nth(a.verb)].verb.name, customer, a.key, a.first,
+                    a.tries));
     works_[id] = a.work;
     remembered_.push_back(id);
     if (remembered_.size() > kRemembered) {
@@ -375,8 +379,8 @@
     runs_[run] = std::move(out);
     conn.owed.push_back({run, std::nullopt});
     if (!passes(conn.router, conn.server)) return;
-    conn.lastArrival = std::max(conn.lastArrival,
-                                now + delay(routers_[nth(conn.router)].zone, s.zone) + host.readsLater);
+    conn.lastArrival =
+        std::max(conn.lastArrival, now + delay(routers_[nth(conn.router)].zone, s.zone) + host.readsLater);
     const std::uint64_t life = host.lives;
     agenda_.put(conn.lastArrival, [this, run, life](Nanos t) {
         const auto found = runs_.find(run);
@@ -451,8 +455,10 @@
     host.machine.ended();
     Reply reply{Reply::Kind::value, fmt::format("v{:x}", run)};
     if (s.origin) {
-        for (std::size_t c = 1; c < servers_.size() && out.call.write; ++c) hosts_[c]->kept.drop(out.call.key);
-        if (const auto lacking = lacking_.find(out.call.command); lacking != lacking_.end() && !out.call.write) {
+        for (std::size_t c = 1; c < servers_.size() && out.call.write; ++c)
+            hosts_[c]->kept.drop(out.call.key);
+        if (const auto lacking = lacking_.find(out.call.command);
+            lacking != lacking_.end() && !out.call.write) {
             for (const int c : lacking->second)
                 if (hosts_[nth(c)]->life == Life::up) hosts_[nth(c)]->kept.put(out.call.key);
             lacking_.erase(lacking);
@@ -503,7 +509,8 @@
     --hosts_[nth(it->second.server)]->connections;
     for (const auto& owed : it->second.owed)
         if (const auto run = runs_.find(owed.run); run != runs_.end())
-            log(now, What::broke, run->second.call.command, it->second.router, it->second.server, owed.run, 0);
+            log(now, What::broke, run->second.call.command, it->second.router, it->second.server, owed.run,
+                0);
     conns_.erase(it);
     driver_.broke(id);
 }
@@ -635,7 +642,8 @@
     static constexpr std::string_view states[] = {"gone", "ready", "draining"};
     const auto tell = [&](const ListLine& line) {
         const auto it = told.find(line.server);
-        if (it != told.end() && it->second.presence == line.presence && it->second.startedAt == line.startedAt)
+        if (it != told.end() && it->second.presence == line.presence &&
+            it->second.startedAt == line.startedAt)
             return;
         told[line.server] = line;
         log(now, What::listed, 0, router, line.server, 0, line.startedAt,
--- a/src/lab/world.hpp
+++ b/src/lab/world.hpp
@@ -1,5 +1,5 @@
-// The deployment round the routers: clients, caches, origin, discovery and network, as one model free of I/O and
-// clock. A driver puts it behind sockets or plays it in virtual time; both see the same world.
+// The deployment round the routers: clients, caches, origin, discovery and network, as one model free of I/O
+// and clock. A driver puts it behind sockets or plays it in virtual time; both see the same world.
 #pragma once
 
 #include <deque>
@@ -129,7 +129,9 @@
     const std::vector<Server>& servers() const { return servers_; }
     int doors() const { return static_cast<int>(occupants_.size()); }
     std::optional<int> serverNamed(const std::string& name) const;
-    const std::string& routerZone(int router) const { return routers_[static_cast<std::size_t>(router)].zone; }
+    const std::string& routerZone(int router) const {
+        return routers_[static_cast<std::size_t>(router)].zone;
+    }
     Door doorNow(int router, int door) const;
     Nanos delay(const std::string& from, const std::string& to);
     nlohmann::json head(std::uint64_t seed) const;
--- a/tests/lab_live_test.cpp
+++ b/tests/lab_live_test.cpp
@@ -70,16 +70,18 @@
     return path;
 }
 
-const std::vector<std::pair<std::string, std::string>> kTender{{"[cold]", "[cold]\nshare = 0.3\ntip = 1.05\nramp_ms = 8000\nfall_ms = 1000"},
-                                                               {"count = 12", "count = 6"}};
+const std::vector<std::pair<std::string, std::string>> kTender{
+    {"[cold]", "[cold]\nshare = 0.3\ntip = 1.05\nramp_ms = 8000\nfall_ms = 1000"},
+    {"count = 12", "count = 6"}};
 
 }  // namespace
 
 TEST_CASE("a dozen days in virtual time keep the rules and their bounds") {
     std::vector<std::future<Said>> days;
-    for (const char* name : {"crash", "hang", "slow", "replace", "zone-cut", "origin-stop", "discovery-down", "hot-key", "spoil",
-                             "drain", "router-kill", "cold-storm"})
-        days.push_back(std::async(std::launch::async, [name] { return call("sim " SCENARIOS "/" + std::string(name) + ".toml"); }));
+    for (const char* name : {"crash", "hang", "slow", "replace", "zone-cut", "origin-stop", "discovery-down",
+                             "hot-key", "spoil", "drain", "router-kill", "cold-storm"})
+        days.push_back(std::async(
+            std::launch::async, [name] { return call("sim " SCENARIOS "/" + std::string(name) + ".toml"); }));
     for (auto& one : days) {
         const Said said = one.get();
         CHECK_MESSAGE(said.last == "verdict: kept", said.text);
@@ -90,11 +92,13 @@
 TEST_CASE("three short days on sockets: calm, caches that crash, routers that are killed and told to stop") {
     const Folder f;
     const std::string crash = "[[faults]]\nkind = \"crash\"\nat_ms = 1000\nfor_ms = 1500\ncount = 2\n";
-    const std::string roll = "[[faults]]\nkind = \"router_kill\"\nat_ms = 500\n[[faults]]\nkind = \"reload\"\nat_ms = 300\n"
-                             "[[faults]]\nkind = \"router_restart\"\nat_ms = 2500\nfor_ms = 1000\n";
+    const std::string roll =
+        "[[faults]]\nkind = \"router_kill\"\nat_ms = 500\n[[faults]]\nkind = \"reload\"\nat_ms = 300\n"
+        "[[faults]]\nkind = \"router_restart\"\nat_ms = 2500\nfor_ms = 1000\n";
     std::vector<std::future<Said>> days;
-    for (const auto& file : {day(f, "calm", 3000, {}, ""), day(f, "crash", 4000, {}, crash),
-                             day(f, "routers", 5000, {{"[network]", "restart_ms = 600\nnotice_ms = 400\n[network]"}}, roll)})
+    for (const auto& file :
+         {day(f, "calm", 3000, {}, ""), day(f, "crash", 4000, {}, crash),
+          day(f, "routers", 5000, {{"[network]", "restart_ms = 600\nnotice_ms = 400\n[network]"}}, roll)})
         days.push_back(std::async(std::launch::async, [&f, file] {
             return call("run " + file + " --program " POPPYSCALE_PROGRAM " --out " + file + ".out");
         }));
@@ -118,9 +122,10 @@
     const std::string calm = day(f, "calm", 4500, {}, "");
     std::vector<std::pair<std::string, std::future<Said>>> days;
     const auto play = [&](const std::string& rule, const std::string& file) {
-        days.emplace_back(rule, std::async(std::launch::async, [rule, file] {
-                              return call("run " + file + " --program '" POPPYLAB " fault-router " + rule + "'");
-                          }));
+        days.emplace_back(
+            rule, std::async(std::launch::async, [rule, file] {
+                return call("run " + file + " --program '" POPPYLAB " fault-router " + rule + "'");
+            }));
     };
     for (const char* rule : {"none", "twice", "lost", "foreign", "crash"}) play(rule, calm);
     play("drain", day(f, "drain", 4500, {}, drain));
@@ -132,7 +137,9 @@
         if (kept)
             CHECK(said.last == "verdict: kept");
         else
-            CHECK_MESSAGE((said.last.starts_with("verdict: broken:") && said.last.find(" " + rule) != std::string::npos), said.text);
+            CHECK_MESSAGE((said.last.starts_with("verdict: broken:") &&
+                           said.last.find(" " + rule) != std::string::npos),
+                          said.text);
     }
 }
 
@@ -155,7 +162,8 @@
     const std::string file = day(f, "calm", 3000, {}, "");
     const pid_t lab = fork();
     if (lab == 0) {
-        execl(POPPYLAB, POPPYLAB, "run", file.c_str(), "--program", POPPYSCALE_PROGRAM, "--out", (f.path + "/out").c_str(), nullptr);
+        execl(POPPYLAB, POPPYLAB, "run", file.c_str(), "--program", POPPYSCALE_PROGRAM, "--out",
+              (f.path + "/out").c_str(), nullptr);
         _exit(127);
     }
     // Its log has its head once the routers are up and something was asked.
@@ -207,7 +215,8 @@
     poppyscale::lab::HttpCall call;
     using State = poppyscale::lab::HttpCall::State;
     const std::string text =
-        "PUT /k1 HTTP/1.1\r\nHost: o\r\nx-call-id: 9b\r\nX-Call-Info: c=put,k=7\r\nContent-Length: 3\r\n\r\nabc"
+        "PUT /k1 HTTP/1.1\r\nHost: o\r\nx-call-id: 9b\r\nX-Call-Info: c=put,k=7\r\nContent-Length: "
+        "3\r\n\r\nabc"
         "GET /api/targets?after=4&wait_ms=20 HTTP/1.1\r\nHost: d\r\n\r\n";
     std::string_view rest = text;
     std::string_view piece = rest.substr(0, 20);
--- a/tests/lab_world_test.cpp
+++ b/tests/lab_world_test.cpp
@@ -56,7 +56,8 @@
         nlohmann::json verbs = nlohmann::json::array();
         const char* const names[] = {"read", "upload", "payout"};
         for (int i = 0; i < 3; ++i)
-            verbs.push_back({{"name", names[i]}, {"effect", i}, {"group", i == 1 ? 1 : 0}, {"remembered", 1'000 * ms}});
+            verbs.push_back(
+                {{"name", names[i]}, {"effect", i}, {"group", i == 1 ? 1 : 0}, {"remembered", 1'000 * ms}});
         audit = std::make_unique<Audit>(nlohmann::json{{"slack", 50 * ms},
                                                        {"grace", 500 * ms},
                                                        {"cold", {{"span", 1'000 * ms}, {"ramp", 5'000 * ms}}},
@@ -149,20 +150,34 @@
 
 TEST_CASE("each malformed scenario is refused with its file, line and key") {
     CHECK(complaint("count = 3", "cuont = 3") == "day.toml:5: routers.count: is missing");
-    CHECK(complaint("cores = 5", "cores = 5\nspede = 1") == "day.toml:15: caches[0].spede: is not a key that is known here");
-    CHECK(complaint("count = 12", "count = \"twelve\"") == "day.toml:13: caches[0].count: is not a whole number");
-    CHECK(complaint("count = 12", "count = 500").starts_with("day.toml:13: caches[0].count: is not from 1 to 200"));
-    CHECK(complaint("swing = 0.25", "swing = 1.25").starts_with("day.toml:30: load.swing: is not from 0 to 1"));
-    CHECK(complaint("effect = \"pure\"", "effect = \"safe\"").find("verbs[0].effect: 'safe' is none of pure") != std::string::npos);
+    CHECK(complaint("cores = 5", "cores = 5\nspede = 1") ==
+          "day.toml:15: caches[0].spede: is not a key that is known here");
+    CHECK(complaint("count = 12", "count = \"twelve\"") ==
+          "day.toml:13: caches[0].count: is not a whole number");
+    CHECK(complaint("count = 12", "count = 500")
+              .starts_with("day.toml:13: caches[0].count: is not from 1 to 200"));
+    CHECK(
+        complaint("swing = 0.25", "swing = 1.25").starts_with("day.toml:30: load.swing: is not from 0 to 1"));
+    CHECK(
+        complaint("effect = \"pure\"", "effect = \"safe\"").find("verbs[0].effect: 'safe' is none of pure") !=
+        std::string::npos);
     CHECK(complaint("goal_ms = 500", "goal_ms = 5000").find("verbs[0].goal_ms") != std::string::npos);
     CHECK(complaint("[network]", "[network").starts_with("day.toml:"));
-    CHECK(complaint("name = \"payout\"", "name = \"read\"").find("verbs[2].name: is another verb's too") != std::string::npos);
-    const auto fault = [](const std::string& lines) { return complaint("[holds]", "[[faults]]\n" + lines + "\n[holds]"); };
-    CHECK(fault("kind = \"crush\"\nat_ms = 1").find("faults[0].kind: 'crush' is none of crash") != std::string::npos);
-    CHECK(fault("kind = \"cut\"\nat_ms = 1\nzone = \"east\"").find("faults[0].zone: 'east' is not a zone") != std::string::npos);
-    CHECK(fault("kind = \"crash\"\nat_ms = 19000\nfor_ms = 2000").find("ends after the scenario") != std::string::npos);
-    CHECK(fault("kind = \"crash\"\nat_ms = 1\ncount = 13").find("faults[0].count: is not from 1 to 12") != std::string::npos);
-    CHECK(fault("kind = \"spoil\"\nat_ms = 1\nby = nan").find("faults[0].by: is not a number") != std::string::npos);
+    CHECK(complaint("name = \"payout\"", "name = \"read\"").find("verbs[2].name: is another verb's too") !=
+          std::string::npos);
+    const auto fault = [](const std::string& lines) {
+        return complaint("[holds]", "[[faults]]\n" + lines + "\n[holds]");
+    };
+    CHECK(fault("kind = \"crush\"\nat_ms = 1").find("faults[0].kind: 'crush' is none of crash") !=
+          std::string::npos);
+    CHECK(fault("kind = \"cut\"\nat_ms = 1\nzone = \"east\"").find("faults[0].zone: 'east' is not a zone") !=
+          std::string::npos);
+    CHECK(fault("kind = \"crash\"\nat_ms = 19000\nfor_ms = 2000").find("ends after the scenario") !=
+          std::string::npos);
+    CHECK(fault("kind = \"crash\"\nat_ms = 1\ncount = 13").find("faults[0].count: is not from 1 to 12") !=
+          std::string::npos);
+    CHECK(fault("kind = \"spoil\"\nat_ms = 1\nby = nan").find("faults[0].by: is not a number") !=
+          std::string::npos);
     CHECK(complaint("[holds]", "[holds]") == "");
 }
 
