The module takes other terms while it runs, and shows what it believes; TOML is read in one strict place

Need: a reload has to change verbs, customers and figures without losing what is open, and who is on call wants to see what a router believes of its caches. The lab's strict reader of TOML found one problem at a time and was the lab's own.

Change: Router::changed and Router::beliefs in the module. A command keeps the verb it came under, so its effect is never taken for a milder one, and the smaller of the two numbers of relays; customers keep what they have been sent. The reader is src/text/, finds all problems of a file, and the lab uses it. A cache that a fault has drained and that ails otherwise by then is no longer ended twice.

--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -1,26 +1,21 @@
 #include "lab/scenario.hpp"
 
 #include <fmt/format.h>
-#include <toml++/toml.h>
+
+#include "text/table.hpp"
 
 #include <algorithm>
-#include <array>
-#include <cmath>
 #include <fstream>
 #include <iterator>
-#include <limits>
 #include <nlohmann/json.hpp>
-#include <optional>
-#include <set>
 
 namespace poppyscale::lab {
 namespace {
 
-template <class T>
-using Names = std::vector<std::pair<std::string_view, T>>;
+using text::Table;
 
-const Names<FaultKind>& faultNames() {
-    static const Names<FaultKind> names{{"crash", FaultKind::crash},
+const text::Words<FaultKind>& faultNames() {
+    static const text::Words<FaultKind> names{{"crash", FaultKind::crash},
                                         {"hang", FaultKind::hang},
                                         {"slow", FaultKind::slow},
                                         {"errors", FaultKind::errors},
@@ -47,122 +42,6 @@
     return names;
 }
 
-// One table of the file. Whatever was not asked for when it goes out of use is a key nobody knows.
-class Table {
-  public:
-    Table(const toml::table& table, const std::string& file, std::string path)
-        : table_(table), file_(file), path_(std::move(path)) {}
-
-    [[noreturn]] void fail(std::string_view key, const std::string& what) const {
-        const toml::node* const node = table_.get(key);
-        const auto line = node ? node->source().begin.line : table_.source().begin.line;
-        throw BadScenario(
-            fmt::format("{}:{}: {}: {}", file_, std::max<std::uint32_t>(line, 1), below(key), what));
-    }
-
-    double real(std::string_view key, std::optional<double> otherwise, double least = 0, double most = 1e12) {
-        const toml::node* const node = find(key, !otherwise);
-        if (!node) return *otherwise;
-        const auto value = node->value<double>();
-        if (!node->is_number() || !value || !std::isfinite(*value)) fail(key, "is not a number");
-        if (*value < least || *value > most) fail(key, fmt::format("is not from {} to {}", least, most));
-        return *value;
-    }
-    double part(std::string_view key, std::optional<double> otherwise) { return real(key, otherwise, 0, 1); }
-    int whole(std::string_view key, std::optional<int> otherwise, int least = 0, int most = 10'000'000) {
-        const toml::node* const node = find(key, !otherwise);
-        if (!node) return *otherwise;
-        if (!node->is_integer()) fail(key, "is not a whole number");
-        const std::int64_t value = **node->as_integer();
-        if (value < least || value > most) fail(key, fmt::format("is not from {} to {}", least, most));
-        return static_cast<int>(value);
-    }
-    Nanos millis(std::string_view key, std::optional<double> otherwise) {
-        return static_cast<Nanos>(real(key, otherwise, 0, 1e8) * 1e6);
-    }
-    Nanos micros(std::string_view key, std::optional<double> otherwise) {
-        return static_cast<Nanos>(real(key, otherwise, 0, 1e9) * 1e3);
-    }
-    bool yes(std::string_view key, bool otherwise) {
-        const toml::node* const node = find(key, false);
-        if (!node) return otherwise;
-        if (!node->is_boolean()) fail(key, "is neither true nor false");
-        return **node->as_boolean();
-    }
-    std::string text(std::string_view key, std::optional<std::string> otherwise) {
-        const toml::node* const node = find(key, !otherwise);
-        if (!node) return *otherwise;
-        if (!node->is_string()) fail(key, "is not a text");
-        return **node->as_string();
-    }
-    template <class T>
-    T word(std::string_view key, const Names<T>& names, std::optional<T> otherwise) {
-        const toml::node* const node = find(key, !otherwise);
-        if (!node) return *otherwise;
-        const std::string said = text(key, std::nullopt);
-        for (const auto& [name, value] : names)
-            if (name == said) return value;
-        std::string all;
-        for (const auto& [name, value] : names) all.append(all.empty() ? "" : ", ").append(name);
-        fail(key, fmt::format("'{}' is none of {}", said, all));
-    }
-    std::vector<std::string> texts(std::string_view key) {
-        std::vector<std::string> all;
-        const toml::node* const node = find(key, true);
-        if (!node->is_array()) fail(key, "is not a list");
-        for (const toml::node& item : *node->as_array()) {
-            if (!item.is_string() || item.as_string()->get().empty()) fail(key, "holds what is not a name");
-            all.push_back(item.as_string()->get());
-        }
-        return all;
-    }
-    template <class Read>
-    void one(std::string_view key, bool must, Read read) {
-        const toml::node* const node = find(key, must);
-        if (!node) {
-            const toml::table nothing;
-            Table empty(nothing, file_, below(key));
-            return read(empty);
-        }
-        if (!node->is_table()) fail(key, "is not a table");
-        Table inner(*node->as_table(), file_, below(key));
-        read(inner);
-        inner.finish();
-    }
-    template <class Read>
-    void each(std::string_view key, bool must, Read read) {
-        const toml::node* const node = find(key, must);
-        if (!node) return;
-        if (!node->is_array_of_tables()) fail(key, "is not a list of tables");
-        int at = 0;
-        for (const toml::node& item : *node->as_array()) {
-            Table inner(*item.as_table(), file_, fmt::format("{}[{}]", below(key), at++));
-            read(inner);
-            inner.finish();
-        }
-    }
-    void finish() const {
-        for (const auto& [key, node] : table_)
-            if (!asked_.contains(std::string(key.str()))) fail(key.str(), "is not a key that is known here");
-    }
-
-  private:
-    std::string below(std::string_view key) const {
-        return path_.empty() ? std::string(key) : path_ + "." + std::string(key);
-    }
-    const toml::node* find(std::string_view key, bool must) {
-        asked_.emplace(key);
-        const toml::node* const node = table_.get(key);
-        if (!node && must) fail(key, "is missing");
-        return node;
-    }
-
-    const toml::table& table_;
-    const std::string& file_;
-    std::string path_;
-    std::set<std::string> asked_;
-};
-
 void readVerb(Table& t, Scenario& s) {
     VerbPlan plan;
     Verb& verb = plan.verb;
@@ -178,7 +57,7 @@
     }
     verb.goal = t.millis("goal_ms", std::nullopt);
     plan.limit = t.millis("limit_ms", std::nullopt);
-    if (plan.limit < verb.goal || verb.goal < kMillisecond) t.fail("goal_ms", "is not from 1 to limit_ms");
+    if (plan.limit < verb.goal || verb.goal < kMillisecond) t.problem("goal_ms", "is not from 1 to limit_ms");
     verb.utility = t.real("utility", 1.0);
     verb.lateUtility = t.part("late_utility", 0.0);
     plan.share = t.real("share", std::nullopt);
@@ -186,7 +65,7 @@
     plan.spread = t.real("spread", 0.0, 0, 10);
     plan.write = t.yes("write", verb.effect != Effect::pure);
     for (const VerbPlan& other : s.verbs)
-        if (other.verb.name == verb.name) t.fail("name", "is another verb's too");
+        if (other.verb.name == verb.name) t.problem("name", "is another verb's too");
     s.verbs.push_back(std::move(plan));
 }
 
@@ -196,12 +75,12 @@
     f.at = t.millis("at_ms", std::nullopt);
     f.length = t.millis("for_ms", 0.0);
     f.times = t.whole("times", 1, 1, 1000);
-    if (f.at + f.length > s.length) t.fail("at_ms", "the fault ends after the scenario does");
+    if (f.at + f.length > s.length) t.problem("at_ms", "the fault ends after the scenario does");
     switch (f.kind) {
         case FaultKind::cut:
             f.zone = t.text("zone", std::nullopt);
             if (std::find(s.network.zones.begin(), s.network.zones.end(), f.zone) == s.network.zones.end())
-                t.fail("zone", fmt::format("'{}' is not a zone of the network", f.zone));
+                t.problem("zone", fmt::format("'{}' is not a zone of the network", f.zone));
             break;
         case FaultKind::crash:
         case FaultKind::hang:
@@ -276,7 +155,7 @@
     s.name = t.text("name", std::nullopt);
     s.about = t.text("about", "");
     s.length = t.millis("length_ms", std::nullopt);
-    if (s.length < 100 * kMillisecond) t.fail("length_ms", "is under 100");
+    if (s.length < 100 * kMillisecond) t.problem("length_ms", "is under 100");
     s.drainGrace = t.millis("drain_grace_ms", 500.0);
     s.slack = t.millis("slack_ms", 100.0);
     t.one("routers", true, [&](Table& r) {
@@ -293,14 +172,14 @@
     });
     t.one("network", true, [&](Table& n) {
         s.network.zones = n.texts("zones");
-        if (s.network.zones.empty()) n.fail("zones", "names none");
+        if (s.network.zones.empty()) n.problem("zones", "names none");
         s.network.same = n.micros("same_us", 250.0);
         s.network.cross = n.micros("cross_us", 5'000.0);
         s.network.jitter = n.part("jitter", 0.2);
     });
     t.each("caches", true, [&](Table& c) { readCaches(c, s); });
-    if (s.caches.empty()) t.fail("caches", "there is none");
-    if (s.cacheCount() > 240) t.fail("caches", "there are over 240 in all");
+    if (s.caches.empty()) t.problem("caches", "there is none");
+    if (s.cacheCount() > 240) t.problem("caches", "there are over 240 in all");
     t.one("cold", false, [&](Table& c) {
         s.cold.share = c.real("share", 0.35, 0.01, 1);
         s.cold.ramp = c.millis("ramp_ms", 5'000.0);
@@ -329,14 +208,14 @@
     t.each("verbs", true, [&](Table& v) { readVerb(v, s); });
     double shares = 0;
     for (const VerbPlan& v : s.verbs) shares += v.share;
-    if (shares <= 0) t.fail("verbs", "their shares add up to nothing");
+    if (shares <= 0) t.problem("verbs", "their shares add up to nothing");
     t.each("customers", false, [&](Table& c) {
         s.customers.push_back(
             {c.text("name", std::nullopt), c.real("share", std::nullopt), c.real("quota", std::nullopt)});
     });
     double customers = 0;
     for (const CustomerPlan& c : s.customers) customers += c.share;
-    if (!s.customers.empty() && customers <= 0) t.fail("customers", "their shares add up to nothing");
+    if (!s.customers.empty() && customers <= 0) t.problem("customers", "their shares add up to nothing");
     t.each("faults", false, [&](Table& f) { readFault(f, s); });
     t.one("holds", false, [&](Table& h) {
         s.bounds.goal = h.part("goal", 0.0);
@@ -375,14 +254,15 @@
     return "";
 }
 
-Scenario parseScenario(std::string_view text, const std::string& path) {
-    try {
-        const toml::table table = toml::parse(text, path);
-        Table top(table, path, "");
-        return scenarioOf(top);
-    } catch (const toml::parse_error& problem) {
-        throw BadScenario(fmt::format("{}:{}: {}", path, problem.source().begin.line, problem.description()));
+Scenario parseScenario(std::string_view said, const std::string& path) {
+    text::Problems problems(path);
+    Scenario scenario;
+    if (const auto table = text::parseToml(said, path, problems)) {
+        Table top(*table, problems);
+        scenario = scenarioOf(top);
     }
+    if (!problems.none()) throw BadScenario(problems.text());
+    return scenario;
 }
 
 Scenario readScenario(const std::string& path) {
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -28,6 +28,7 @@
     Kept kept;
     Drive drive;
     Life life = Life::up;
+    bool leaving = false;
     bool draining = false;
     bool refuses = false;
     bool deaf = false;
@@ -537,9 +538,10 @@
 
 void World::revive(Nanos now, int server) {
     Host& host = *hosts_[nth(server)];
-    if (host.life == Life::gone) return;
+    const bool back = host.life == Life::down || host.life == Life::hung;
+    if (host.life == Life::gone || (!back && !host.leaving)) return;
     host.life = Life::up;
-    host.draining = false;
+    host.leaving = host.draining = false;
     ++host.lives;
     Server& s = servers_[nth(server)];
     if (!s.origin) s.startedAt = now;
@@ -756,8 +758,12 @@
         case K::drain:
             each([&](int s, Host& host) {
                 change(now, s, Presence::draining, 0);
-                agenda_.put(now + scenario_.drainGrace, [&host](Nanos) { host.draining = true; });
-                agenda_.put(now + 2 * scenario_.drainGrace + scenario_.longestLimit(), [this, s](Nanos t) {
+                // What ails it otherwise by then, or a fault that is over, ends the leaving.
+                host.leaving = true;
+                const auto leaves = [&host, lives = host.lives] { return host.leaving && host.lives == lives; };
+                agenda_.put(now + scenario_.drainGrace, [&host, leaves](Nanos) { host.draining = leaves(); });
+                agenda_.put(now + 2 * scenario_.drainGrace + scenario_.longestLimit(), [this, s, leaves](Nanos t) {
+                    if (!leaves()) return;
                     die(t, s);
                     change(t, s, Presence::gone, 0);
                 });
@@ -852,10 +858,9 @@
         switch (fault.kind) {
             case FaultKind::crash:
             case FaultKind::drain:
-                if (host.life == Life::down || host.draining) {
-                    if (host.life != Life::down) die(now, s);
-                    revive(now, s);
-                }
+                if (host.life != Life::down && !host.leaving) break;
+                if (host.life != Life::down) die(now, s);
+                revive(now, s);
                 break;
             case FaultKind::hang:
                 // A process that hung is started anew.
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -118,6 +118,12 @@
                 if (block.holds(key)) block.remove(key);
     }
     void wipe() { *this = {}; }
+    std::int64_t keys() const {
+        std::int64_t sum = 0;
+        for (const auto* generation : {&current_, &previous_})
+            for (const Counters& block : *generation) sum += block.keys;
+        return sum;
+    }
     void swap() { previous_ = std::exchange(current_, {}); }
 
   private:
@@ -231,15 +237,16 @@
 };
 
 struct Usage {
-    const Customer* customer;
+    Customer customer;
     Decaying asked{kShareMemory};
     Decaying sent{kShareMemory};
 };
 
 struct Command {
     CommandId id = 0;
-    const Verb* verb = nullptr;
-    Usage* usage = nullptr;
+    std::shared_ptr<const Verb> verb;  // it stays as it was when the command came
+    std::shared_ptr<Usage> usage;
+    int mostRelays = 1;
     std::uint64_t key = 0;
     bool keyed = false;
     bool write = false;
@@ -265,12 +272,53 @@
         : terms(std::move(given)), host(host), startedAt(now), swapAt(now + kGeneration) {
         std::seed_seq seed{static_cast<unsigned>(terms.seed), static_cast<unsigned>(terms.seed >> 32)};
         chance.seed(seed);
-        for (const Customer& c : terms.customers) usages.push_back(std::make_unique<Usage>(Usage{&c}));
+        readTerms();
         // Spread: discovery doesn't grow with the routers, and all may have been restarted together.
         const Nanos width = std::min(terms.askWithin / 2, terms.routers * 10 * kMillisecond);
         askAt = terms.listOnRequest ? now + spread(width) : kNever;
     }
 
+    // Customers that were known keep what they have asked and been sent.
+    void readTerms() {
+        verbs.clear();
+        for (const Verb& v : terms.verbs) verbs.push_back(std::make_shared<const Verb>(v));
+        const auto before = std::exchange(usages, {});
+        for (const Customer& c : terms.customers) {
+            const auto same = [&](const auto& u) { return u->customer.name == c.name; };
+            const auto it = std::find_if(before.begin(), before.end(), same);
+            usages.push_back(it != before.end() ? *it : std::make_shared<Usage>(Usage{c}));
+            usages.back()->customer = c;
+        }
+    }
+
+    void changed(Nanos now, Terms next) {
+        next.seed = terms.seed;
+        next.aside = terms.aside;
+        next.originShape = terms.originShape;
+        next.listOnRequest = terms.listOnRequest;
+        next.fallSpan = terms.fallSpan;
+        terms = std::move(next);
+        readTerms();
+        // A cache may be cold by the new figures and was warm by the old: its budget begins now.
+        for (Cache* c : fleet) c->dueAt = std::max(c->dueAt, now);
+        ++fleetState;
+    }
+
+    std::vector<Belief> beliefs(Nanos now) {
+        std::vector<Belief> all;
+        for (const auto* list : {&fleet, &origins})
+            for (Cache* c : *list)
+                all.push_back({c->name, c->zone, c->presence, c->origin, c->window.out, c->window.size,
+                               warmth(*c, now), c->heard.read(now), c->failures.read(now),
+                               c->lateness.read(now) / std::max(c->heard.read(now), 1e-9), c->filter.keys(),
+                               c->asideUntil});
+        return all;
+    }
+
+    int relaysLeft(const Command& cmd) const {
+        return std::min(cmd.mostRelays, terms.maxRelays) - static_cast<int>(cmd.relays.size());
+    }
+
     Nanos spread(Nanos width) { return static_cast<Nanos>(static_cast<double>(width) * draw()); }
     double draw() { return chance() / 4294967296.0; }
 
@@ -299,8 +347,7 @@
             if (to && r.standing == Standing::out) return false;
             if (!mayHaveRun && r.standing != Standing::neverRan) mayHaveRun = &r;
         }
-        if (to && (static_cast<int>(cmd.relays.size()) >= terms.maxRelays || now >= cmd.giveUpAt ||
-                   to->presence != Presence::ready))
+        if (to && (relaysLeft(cmd) <= 0 || now >= cmd.giveUpAt || to->presence != Presence::ready))
             return false;
         if (!mayHaveRun || cmd.verb->effect == Effect::pure) return true;
         if (cmd.verb->effect == Effect::effectful) return false;
@@ -433,7 +480,7 @@
     Place place(Command& cmd, Nanos now) {
         if (!terms.aside) return {ordinary(cmd, now), false};
         if (cmd.write) return {originFor(cmd, now), false};
-        const bool lastRelay = static_cast<int>(cmd.relays.size()) + 1 >= terms.maxRelays;
+        const bool lastRelay = relaysLeft(cmd) <= 1;
         const bool hinted = !lastRelay && hintedSomewhere(cmd, now);
         if (!hinted && fetches.contains(cmd.key)) return {nullptr, true};
         const bool atCaches = hinted || (cmd.lacking.empty() && cmd.candidates[0] && !lastRelay);
@@ -478,7 +525,7 @@
     }
 
     bool beyondShare(Usage* usage, Nanos now) {
-        if (!usage || usage->customer->quotaPerSecond <= 0) return false;
+        if (!usage || usage->customer.quotaPerSecond <= 0) return false;
         usage->asked.add(now, 1);
         // A router can't know its part of all traffic, and an even part would take each customer of a busy
         // router for greedy: what the median customer asks or is sent of its share stands for it.
@@ -486,11 +533,11 @@
         const auto fair = [&](Decaying Usage::*of) {
             std::vector<double> parts;
             for (const auto& u : usages)
-                if (const double quota = u->customer->quotaPerSecond; quota > 0)
+                if (const double quota = u->customer.quotaPerSecond; quota > 0)
                     parts.push_back(((*u).*of).read(now) / quota);
             const auto middle = parts.begin() + (parts.size() - 1) / 2;
             std::nth_element(parts.begin(), middle, parts.end());
-            return std::max(even, *middle) * usage->customer->quotaPerSecond;
+            return std::max(even, *middle) * usage->customer.quotaPerSecond;
         };
         // Past chance, or small ones that keep to their share would be taken for greedy; who asks far more
         // than the others gets no such margin while the caches are pressed.
@@ -612,7 +659,7 @@
                 const bool inReach =
                     at.waitsForFetch || whole.cutAt == 0 || ++ahead * answerGap < (lastStart - now) / 2;
                 const bool roomMayCome = at.waitsForFetch || (!cmd.beyondShare && inReach);
-                const bool spentAll = static_cast<int>(cmd.relays.size()) >= terms.maxRelays;
+                const bool spentAll = relaysLeft(cmd) <= 0;
                 const bool barred = cmd.failedBefore || spentAll || (!cmd.candidates[0] && origins.empty());
                 if (now < lastStart && roomMayCome && !barred) {
                     wakeWanted = std::min(wakeWanted, std::min(lastStart, now + 25 * kMillisecond));
@@ -694,17 +741,18 @@
         made = std::make_unique<Command>();
         Command& cmd = *made;
         cmd.id = a.id;
-        for (const Verb& v : terms.verbs)
-            if (v.name == a.verb) cmd.verb = &v;
-        if (!cmd.verb) cmd.verb = &unknownVerb;
+        for (const auto& v : verbs)
+            if (v->name == a.verb) cmd.verb = v;
+        if (!cmd.verb) cmd.verb = unknownVerb;
+        cmd.mostRelays = terms.maxRelays;
         for (const auto& u : usages)
-            if (u->customer->name == a.customer) cmd.usage = u.get();
+            if (u->customer.name == a.customer) cmd.usage = u;
         cmd.keyed = !a.key.empty();
         cmd.key = cmd.keyed ? hashOf(a.key) : mix(a.id);
         cmd.write = a.write;
         cmd.giveUpAt = a.giveUpAt;
         cmd.goalAt = now + cmd.verb->goal;
-        cmd.beyondShare = beyondShare(cmd.usage, now);
+        cmd.beyondShare = beyondShare(cmd.usage.get(), now);
         waiting.push_back(&cmd);
     }
 
@@ -743,11 +791,12 @@
     std::mt19937 chance;
     std::unordered_map<std::string, std::shared_ptr<Cache>> known;
     std::vector<Cache*> fleet, origins;  // in the order they were first heard of
-    std::vector<std::unique_ptr<Usage>> usages;
+    std::vector<std::shared_ptr<Usage>> usages;
+    std::vector<std::shared_ptr<const Verb>> verbs;
     std::unordered_map<CommandId, std::unique_ptr<Command>> commands;
     std::unordered_map<std::uint64_t, Command*> fetches;
     std::vector<Command*> waiting;
-    Verb unknownVerb;
+    const std::shared_ptr<const Verb> unknownVerb = std::make_shared<const Verb>();
     Decaying answers{kMemory}, answerTime{kMemory};
     std::uint64_t fleetState = 1;
     Window whole{kLatenessWanted, 0, 1};  // over all caches
@@ -776,6 +825,8 @@
 void Router::arrival(Nanos now, const Arrival& arrival) { in_->arrival(now, arrival); }
 void Router::ended(Nanos now, const RelayEnd& end) { in_->ended(now, end); }
 void Router::left(Nanos, CommandId id) { in_->left(id); }
+void Router::changed(Nanos now, Terms terms) { in_->changed(now, std::move(terms)); }
+std::vector<Belief> Router::beliefs(Nanos now) { return in_->beliefs(now); }
 void Router::settle(Nanos now) { in_->settle(now); }
 
 }  // namespace poppyscale
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -96,6 +96,22 @@
     Nanos spent = 0;
 };
 
+// What a router believes of a server, to be looked at and nothing else.
+struct Belief {
+    std::string name;
+    std::string zone;
+    Presence presence = Presence::gone;
+    bool origin = false;
+    int out = 0;
+    double window = 0;       // relays that may be out
+    double warmth = 1;       // of what it bears when warm
+    double heard = 0;        // endings, a decaying sum
+    double failed = 0;       // of these
+    double lateness = 0;     // mean time as a part of the goal
+    std::int64_t hints = 0;  // keys that it is held to have
+    Nanos asideUntil = 0;    // past: not set aside
+};
+
 // What the decisions ask of whatever carries them out. Relays of a command count 0, 1, 2 ... as asked.
 class Host {
   public:
@@ -119,8 +135,14 @@
     void arrival(Nanos now, const Arrival& arrival);
     void ended(Nanos now, const RelayEnd& end);
     void left(Nanos now, CommandId id);
+    // Other verbs, customers and figures from now on; `seed`, `aside`, `originShape`, `listOnRequest` and
+    // `fallSpan` stay as they were. What has arrived ends by the verb it came under, and by the smaller
+    // number of relays.
+    void changed(Nanos now, Terms terms);
     // Once after all events of a moment (a wake-up has no call of its own): emits what should change.
     void settle(Nanos now);
+    // In the order in which the servers were first heard of.
+    std::vector<Belief> beliefs(Nanos now);
 
   private:
     struct Inside;
--- /dev/null
+++ b/src/text/table.hpp
@@ -0,0 +1,109 @@
+// TOML files read strictly: what is missing, misspelt, of another type or out of its range is a problem with
+// its file, line and key, and all problems of a file are found, not only the first.
+#pragma once
+
+#include <toml++/toml.h>
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "logic.hpp"
+
+namespace poppyscale::text {
+
+class Problems {
+  public:
+    explicit Problems(std::string file) : file_(std::move(file)) {}
+    void add(std::uint32_t line, std::string_view key, std::string_view what);
+    bool none() const { return all_.empty(); }
+    std::size_t count() const { return all_.size(); }
+    // One line each, "FILE:LINE: KEY: what is wrong", in the file's order.
+    std::string text() const;
+
+  private:
+    std::string file_;
+    std::vector<std::pair<std::uint32_t, std::string>> all_;
+};
+
+template <class T>
+using Words = std::vector<std::pair<std::string_view, T>>;
+
+// One table of a file. Where a key can't be read its problem is noted and a harmless value comes back.
+class Table {
+  public:
+    Table(const toml::table& table, Problems& problems, std::string path = "")
+        : table_(table), problems_(problems), path_(std::move(path)) {}
+
+    void problem(std::string_view key, std::string_view what);
+
+    double real(std::string_view key, std::optional<double> otherwise, double least = 0, double most = 1e12);
+    double part(std::string_view key, std::optional<double> otherwise) { return real(key, otherwise, 0, 1); }
+    int whole(std::string_view key, std::optional<int> otherwise, int least = 0, int most = 10'000'000);
+    Nanos millis(std::string_view key, std::optional<double> otherwise);
+    Nanos micros(std::string_view key, std::optional<double> otherwise);
+    bool yes(std::string_view key, bool otherwise);
+    std::string text(std::string_view key, std::optional<std::string> otherwise);
+    std::vector<std::string> texts(std::string_view key);
+    bool has(std::string_view key) const { return table_.contains(key); }
+
+    template <class T>
+    T word(std::string_view key, const Words<T>& words, std::optional<T> otherwise) {
+        const toml::node* const node = find(key, !otherwise);
+        if (!node) return otherwise.value_or(words.front().second);
+        const std::string said = textOf(key, *node);
+        std::string all;
+        for (const auto& [name, value] : words) {
+            if (name == said) return value;
+            all.append(all.empty() ? "" : ", ").append(name);
+        }
+        problem(key, "'" + said + "' is none of " + all);
+        return words.front().second;
+    }
+    // A table within. One that may be left out is read as an empty one.
+    template <class Read>
+    void one(std::string_view key, bool must, Read read) {
+        const toml::node* const node = find(key, must);
+        const toml::table nothing;
+        if (node && !node->is_table()) problem(key, "is not a table");
+        const bool there = node && node->is_table();
+        // What an absent table lacks was told by its own absence.
+        Problems unheard("");
+        Table inner(there ? *node->as_table() : nothing, there || !must ? problems_ : unheard, below(key));
+        read(inner);
+        inner.finish();
+    }
+    template <class Read>
+    void each(std::string_view key, bool must, Read read) {
+        const toml::node* const node = find(key, must);
+        if (!node) return;
+        if (!node->is_array_of_tables()) return problem(key, "is not a list of tables");
+        int at = 0;
+        for (const toml::node& item : *node->as_array()) {
+            Table inner(*item.as_table(), problems_, below(key) + "[" + std::to_string(at++) + "]");
+            read(inner);
+            inner.finish();
+        }
+    }
+    // Whatever was not asked for is a key that nobody knows.
+    void finish();
+
+  private:
+    std::string below(std::string_view key) const;
+    const toml::node* find(std::string_view key, bool must);
+    std::string textOf(std::string_view key, const toml::node& node);
+
+    const toml::table& table_;
+    Problems& problems_;
+    std::string path_;
+    std::set<std::string, std::less<>> asked_;
+};
+
+// Null, with the problem noted, when it is not TOML.
+std::optional<toml::table> parseToml(std::string_view text, const std::string& file, Problems& problems);
+
+}  // namespace poppyscale::text
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -561,3 +561,45 @@
     CHECK(w.end(1, 0, Ending::noneHere) == "origin");
     CHECK(w.end(1, 1, Ending::noneHere) == "declined");
 }
+
+TEST_CASE("other terms hold from now on, but a command ends by the verb it came under") {
+    World w;
+    CHECK(w.ask(1, "k", "pay") != "");
+    Terms looser = smallTerms(false);
+    looser.verbs[2].effect = Effect::pure;  // pay may now be repeated
+    looser.verbs.erase(looser.verbs.begin());  // and read is no more
+    looser.maxRelays = 9;
+    w.router.changed(1 * ms, looser);
+    w.router.ended(2 * ms, {1, 0, Ending::errored, false, ms});
+    w.host.told.clear();
+    w.router.settle(2 * ms);
+    REQUIRE(w.host.told.size() == 1);
+    CHECK(w.host.told[0].what == 't');
+    CHECK(w.ask(2, "k", "pay") != "");
+    w.router.ended(3 * ms, {2, 0, Ending::errored, false, ms});
+    w.host.told.clear();
+    w.router.settle(3 * ms);
+    REQUIRE(w.host.told.size() == 1);
+    CHECK(w.host.told[0].what == 'r');
+}
+
+TEST_CASE("stricter terms hold for what is open too") {
+    World w;
+    CHECK(w.ask(1, "k", "read") != "");
+    Terms stricter = smallTerms(false);
+    stricter.maxRelays = 1;
+    w.router.changed(1 * ms, stricter);
+    w.router.ended(2 * ms, {1, 0, Ending::noRoute, false, ms});
+    w.host.told.clear();
+    w.router.settle(2 * ms);
+    REQUIRE(w.host.told.size() == 1);
+    CHECK(w.host.told[0].what == 'd');
+}
+
+TEST_CASE("what a router believes of its caches can be looked at") {
+    World w;
+    const std::string to = w.ask(1, "k", "read");
+    for (const Belief& b : w.router.beliefs(1 * ms)) CHECK(b.out == (b.name == to ? 1 : 0));
+    w.router.ended(2 * ms, {1, 0, Ending::answered, true, ms});
+    for (const Belief& b : w.router.beliefs(2 * ms)) CHECK(b.hints == (b.name == to ? 1 : 0));
+}
