--- a/src/lab/ledger.hpp
+++ b/src/lab/ledger.hpp
@@ -21,9 +21,9 @@
 };
 
 enum class What : std::uint8_t {
-    server,  // there is one: text "NAME ZONE CELL origin|cache SPEED", number its start, 0 for long ago
-    asked,   // a client gave a command to a router: text "VERB CUSTOMER KEY FIRST TRY", number its limit's
-            // time, run the time it was due
+    server,    // there is one: text "NAME ZONE CELL origin|cache SPEED", number its start, 0 for long ago
+    asked,     // a client gave a command to a router: text "VERB CUSTOMER KEY FIRST TRY", number its limit's
+               // time, run the time it was due
     answered,  // text the value's token
     declined,  // number the pause it was told
     terminated,
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -2,13 +2,13 @@
 
 #include <fmt/format.h>
 
-#include "text/table.hpp"
-
 #include <algorithm>
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
 
+#include "text/table.hpp"
+
 namespace poppyscale::lab {
 namespace {
 
@@ -16,29 +16,29 @@
 
 const text::Words<FaultKind>& faultNames() {
     static const text::Words<FaultKind> names{{"crash", FaultKind::crash},
-                                        {"hang", FaultKind::hang},
-                                        {"slow", FaultKind::slow},
-                                        {"errors", FaultKind::errors},
-                                        {"replace", FaultKind::replace},
-                                        {"drain", FaultKind::drain},
-                                        {"cut", FaultKind::cut},
-                                        {"refuse", FaultKind::refuse},
-                                        {"reset", FaultKind::reset},
-                                        {"slow_reader", FaultKind::slowReader},
-                                        {"deaf", FaultKind::deaf},
-                                        {"spoil", FaultKind::spoil},
-                                        {"origin_stop", FaultKind::originStop},
-                                        {"origin_slow", FaultKind::originSlow},
-                                        {"discovery_down", FaultKind::discoveryDown},
-                                        {"discovery_silent", FaultKind::discoverySilent},
-                                        {"discovery_move", FaultKind::discoveryMove},
-                                        {"hot_key", FaultKind::hotKey},
-                                        {"heavy", FaultKind::heavy},
-                                        {"scan", FaultKind::scan},
-                                        {"load", FaultKind::load},
-                                        {"router_kill", FaultKind::routerKill},
-                                        {"router_restart", FaultKind::routerRestart},
-                                        {"reload", FaultKind::reload}};
+                                              {"hang", FaultKind::hang},
+                                              {"slow", FaultKind::slow},
+                                              {"errors", FaultKind::errors},
+                                              {"replace", FaultKind::replace},
+                                              {"drain", FaultKind::drain},
+                                              {"cut", FaultKind::cut},
+                                              {"refuse", FaultKind::refuse},
+                                              {"reset", FaultKind::reset},
+                                              {"slow_reader", FaultKind::slowReader},
+                                              {"deaf", FaultKind::deaf},
+                                              {"spoil", FaultKind::spoil},
+                                              {"origin_stop", FaultKind::originStop},
+                                              {"origin_slow", FaultKind::originSlow},
+                                              {"discovery_down", FaultKind::discoveryDown},
+                                              {"discovery_silent", FaultKind::discoverySilent},
+                                              {"discovery_move", FaultKind::discoveryMove},
+                                              {"hot_key", FaultKind::hotKey},
+                                              {"heavy", FaultKind::heavy},
+                                              {"scan", FaultKind::scan},
+                                              {"load", FaultKind::load},
+                                              {"router_kill", FaultKind::routerKill},
+                                              {"router_restart", FaultKind::routerRestart},
+                                              {"reload", FaultKind::reload}};
     return names;
 }
 
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -760,13 +760,16 @@
                 change(now, s, Presence::draining, 0);
                 // What ails it otherwise by then, or a fault that is over, ends the leaving.
                 host.leaving = true;
-                const auto leaves = [&host, lives = host.lives] { return host.leaving && host.lives == lives; };
+                const auto leaves = [&host, lives = host.lives] {
+                    return host.leaving && host.lives == lives;
+                };
                 agenda_.put(now + scenario_.drainGrace, [&host, leaves](Nanos) { host.draining = leaves(); });
-                agenda_.put(now + 2 * scenario_.drainGrace + scenario_.longestLimit(), [this, s, leaves](Nanos t) {
-                    if (!leaves()) return;
-                    die(t, s);
-                    change(t, s, Presence::gone, 0);
-                });
+                agenda_.put(now + 2 * scenario_.drainGrace + scenario_.longestLimit(),
+                            [this, s, leaves](Nanos t) {
+                                if (!leaves()) return;
+                                die(t, s);
+                                change(t, s, Presence::gone, 0);
+                            });
             });
             break;
         case K::cut:
--- /dev/null
+++ b/src/program/hand_over.cpp
@@ -0,0 +1,153 @@
+#include "program/hand_over.hpp"
+
+#include <fmt/format.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <sys/un.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstdlib>
+#include <cstring>
+#include <stdexcept>
+#include <utility>
+
+namespace poppyscale::program {
+namespace {
+
+constexpr timeval kPatience{5, 0};  // with the other process, for each of its answers
+constexpr std::size_t kLongestLine = 1 << 20;
+
+sockaddr_un localAddress(const std::string& path) {
+    sockaddr_un at{};
+    at.sun_family = AF_UNIX;
+    if (path.size() >= sizeof at.sun_path)
+        throw std::runtime_error("the path of a socket is too long: " + path);
+    std::memcpy(at.sun_path, path.data(), path.size());
+    return at;
+}
+
+}  // namespace
+
+TakenOver::TakenOver(const std::string& path) {
+    const sockaddr_un at = localAddress(path);
+    socket_ = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    ::setsockopt(socket_, SOL_SOCKET, SO_RCVTIMEO, &kPatience, sizeof kPatience);
+    ::setsockopt(socket_, SOL_SOCKET, SO_SNDTIMEO, &kPatience, sizeof kPatience);
+    try {
+        if (::connect(socket_, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0)
+            throw std::runtime_error(fmt::format("can't take over: {} at {}", std::strerror(errno), path));
+        write({{"do", "take-over"}});
+        described_ = readLine().at("described").get<std::string>();
+        char byte = 0;
+        iovec piece{&byte, 1};
+        alignas(cmsghdr) char room[CMSG_SPACE(sizeof(int))] = {};
+        msghdr message{};
+        message.msg_iov = &piece;
+        message.msg_iovlen = 1;
+        message.msg_control = room;
+        message.msg_controllen = sizeof room;
+        const auto got = ::recvmsg(socket_, &message, MSG_CMSG_CLOEXEC);
+        const cmsghdr* const head = got == 1 ? CMSG_FIRSTHDR(&message) : nullptr;
+        // At the limit of descriptors the kernel delivers the byte without what it carried.
+        if (!head || head->cmsg_type != SCM_RIGHTS || message.msg_flags & MSG_CTRUNC)
+            throw std::runtime_error("can't take over: no socket came");
+        std::memcpy(&listener_, CMSG_DATA(head), sizeof listener_);
+    } catch (const nlohmann::json::exception& problem) {
+        ::close(socket_);
+        throw std::runtime_error(fmt::format("can't take over: {}", problem.what()));
+    } catch (...) {
+        ::close(socket_);
+        throw;
+    }
+}
+
+TakenOver::~TakenOver() {
+    ::close(socket_);
+    if (listener_ >= 0) ::close(listener_);
+}
+
+int TakenOver::takeListener() { return std::exchange(listener_, -1); }
+
+bool TakenOver::isAt(const transport::Address& address) const {
+    transport::Address at{};
+    socklen_t size = sizeof at;
+    return ::getsockname(listener_, reinterpret_cast<sockaddr*>(&at), &size) == 0 &&
+           transport::sameAddress(at, address);
+}
+
+nlohmann::json TakenOver::readLine() {
+    std::string line;
+    // By single bytes: what follows the line carries the socket and must not be read with it.
+    for (char byte = 0; line.size() < kLongestLine;) {
+        if (::recv(socket_, &byte, 1, 0) != 1)
+            throw std::runtime_error("can't take over: the other process is silent");
+        if (byte == '\n') break;
+        line += byte;
+    }
+    const auto said = nlohmann::json::parse(line);
+    if (said.contains("error"))
+        throw std::runtime_error("can't take over: " + said["error"].get<std::string>());
+    return said;
+}
+
+void TakenOver::write(const nlohmann::json& word) {
+    const std::string line = word.dump() + "\n";
+    if (::send(socket_, line.data(), line.size(), MSG_NOSIGNAL) != static_cast<ssize_t>(line.size()))
+        throw std::runtime_error("can't take over: the other process does not hear");
+}
+
+void TakenOver::ready(const nlohmann::json& word) {
+    write(word);
+    readLine();
+}
+
+Successor::Successor(const std::vector<std::string>& commandLine) {
+    std::vector<std::string> held = commandLine;
+    std::vector<char*> arguments;
+    for (auto& one : held) arguments.push_back(one.data());
+    arguments.push_back(nullptr);
+    posix_spawnattr_t attributes;
+    posix_spawnattr_init(&attributes);
+    sigset_t none;
+    sigemptyset(&none);
+    posix_spawnattr_setsigmask(&attributes, &none);
+    posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
+    const int failed = ::posix_spawnp(&pid_, arguments[0], nullptr, &attributes, arguments.data(), environ);
+    posix_spawnattr_destroy(&attributes);
+    if (failed) throw std::runtime_error(fmt::format("can't start {}: {}", held[0], std::strerror(failed)));
+}
+
+Successor::~Successor() {
+    if (pid_ < 0 || ended()) return;
+    ::kill(pid_, SIGKILL);
+    ::waitpid(pid_, nullptr, 0);
+}
+
+bool Successor::ended() {
+    if (pid_ < 0) return true;
+    if (::waitpid(pid_, nullptr, WNOHANG) != pid_) return false;
+    pid_ = -1;
+    return true;
+}
+
+void notify(const std::string& words) {
+    const char* const path = std::getenv("NOTIFY_SOCKET");
+    if (!path || (path[0] != '/' && path[0] != '@')) return;
+    sockaddr_un at{};
+    at.sun_family = AF_UNIX;
+    const std::size_t size = std::strlen(path);
+    if (size >= sizeof at.sun_path) return;
+    std::memcpy(at.sun_path, path, size);
+    if (path[0] == '@') at.sun_path[0] = '\0';
+    const int socket = ::socket(AF_UNIX, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    const auto length = static_cast<socklen_t>(offsetof(sockaddr_un, sun_path) + size);
+    ::sendto(socket, words.data(), words.size(), MSG_NOSIGNAL | MSG_DONTWAIT,
+             reinterpret_cast<const sockaddr*>(&at), length);
+    ::close(socket);
+}
+
+}  // namespace poppyscale::program
--- /dev/null
+++ b/src/program/hand_over.hpp
@@ -0,0 +1,60 @@
+// Taking over the sockets of the process that serves, and starting the one that takes over ours. Both sides
+// speak through the operator's socket; the new one does so before its loop runs, so it may wait.
+#pragma once
+
+#include <sys/types.h>
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "transport/connection.hpp"
+
+namespace poppyscale::program {
+
+class TakenOver {
+  public:
+    // Asks at the operator's socket `path` for the listening socket, and throws std::runtime_error with what
+    // the other process says when it does not give it.
+    explicit TakenOver(const std::string& path);
+    ~TakenOver();
+    TakenOver(const TakenOver&) = delete;
+    TakenOver& operator=(const TakenOver&) = delete;
+
+    // The listening socket; whoever asks has it from then on.
+    int takeListener();
+    bool isAt(const transport::Address& address) const;
+    // What the other process has in force.
+    const std::string& described() const { return described_; }
+    // Tells it that all is up. When this returns it has stopped accepting; else it throws.
+    void ready(const nlohmann::json& word);
+
+  private:
+    nlohmann::json readLine();
+    void write(const nlohmann::json& word);
+
+    int socket_ = -1;
+    int listener_ = -1;
+    std::string described_;
+};
+
+// The process that is to take over, ours to end until it is ready.
+class Successor {
+  public:
+    explicit Successor(const std::vector<std::string>& commandLine);
+    ~Successor();  // ends it unless it was let go
+    Successor(const Successor&) = delete;
+    Successor& operator=(const Successor&) = delete;
+
+    bool ended();
+    void letGo() { pid_ = -1; }
+    pid_t pid() const { return pid_; }
+
+  private:
+    pid_t pid_ = -1;
+};
+
+// A line to the service manager, by sd_notify's protocol, if one listens.
+void notify(const std::string& words);
+
+}  // namespace poppyscale::program
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -1,3 +1,4 @@
+#include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
@@ -9,10 +10,12 @@
 
 namespace {
 
-poppyscale::protocol::Start readConfiguration() {
-    using poppyscale::protocol::Malformed;
-    const char* const path = std::getenv("ROUTER_CONFIG");
-    if (!path) throw Malformed("ROUTER_CONFIG names no configuration");
+using poppyscale::program::Told;
+using poppyscale::protocol::Malformed;
+
+constexpr const char* kVersion = "poppyscale 0.2";
+
+poppyscale::protocol::Start readPlatform(const char* path) {
     std::ifstream file(path, std::ios::binary);
     const std::string text{std::istreambuf_iterator<char>(file), {}};
     if (!file) throw Malformed(std::string("can't read the configuration ") + path);
@@ -23,9 +26,47 @@
     }
 }
 
+Told readAll(const std::string& operatorFile) {
+    const char* const path = std::getenv("ROUTER_CONFIG");
+    Told told;
+    told.platform = path != nullptr;
+    if (!path && operatorFile.empty())
+        throw Malformed("ROUTER_CONFIG names no configuration, and --operator names no file");
+    std::string problems;
+    try {
+        if (path) told.start = readPlatform(path);
+    } catch (const Malformed& problem) {
+        problems = problem.what();
+    }
+    try {
+        if (!operatorFile.empty()) told.plan = poppyscale::op::loadPlan(operatorFile, told.platform);
+    } catch (const Malformed& problem) {
+        problems += (problems.empty() ? "" : "\n") + std::string(problem.what());
+    }
+    if (!problems.empty()) throw Malformed(problems);
+    if (told.plan.start) told.start = *told.plan.start;
+    return told;
+}
+
 }  // namespace
 
-int main() {
+int main(int argc, char** argv) {
+    CLI::App app{"poppyscale: spreads keys over caches before a slow origin"};
+    app.set_version_flag("--version", kVersion);
+    std::string file;
+    bool takeOver = false;
+    app.add_option("--operator", file, "the operator's file");
+    auto* serve = app.add_subcommand("serve", "serves; also without any word");
+    serve->add_option("--operator", file, "the operator's file");
+    serve->add_flag("--take-over", takeOver, "takes the sockets over from the process that serves so far");
+    auto* check =
+        app.add_subcommand("check", "reads everything and prints what is in force, or every problem");
+    check->add_option("--operator", file, "the operator's file");
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& problem) {
+        return app.exit(problem) == 0 ? 0 : 2;
+    }
     std::signal(SIGPIPE, SIG_IGN);
     // Held back until its handler is up: by itself it would end the program, and ignored, a file replaced
     // after it was read would stay unread.
@@ -34,7 +75,16 @@
     sigaddset(&hangUp, SIGHUP);
     sigprocmask(SIG_BLOCK, &hangUp, nullptr);
     try {
-        poppyscale::program::Program program(readConfiguration);
+        if (*check) {
+            const Told told = readAll(file);
+            std::cout << poppyscale::op::described(told.start, told.plan, told.platform);
+            return 0;
+        }
+        std::vector<std::string> newcomer{argv[0], "serve", "--take-over"};
+        // By its path and not by what runs: an upgrade wants the file that is there by then.
+        if (!file.empty()) newcomer.insert(newcomer.end(), {"--operator", file});
+        poppyscale::program::Program program(
+            {[file] { return readAll(file); }, takeOver, std::move(newcomer)});
         sigprocmask(SIG_UNBLOCK, &hangUp, nullptr);
         return program.run();
     } catch (const std::exception& problem) {
--- a/src/program/program.cpp
+++ b/src/program/program.cpp
@@ -2,20 +2,26 @@
 
 #include <fmt/format.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <map>
 
 namespace poppyscale::program {
 namespace {
 
+using op::Level;
+
 // Clients go on connecting for up to 0.4 s after the signal.
 constexpr Nanos kLeaving = 480 * kMillisecond;
 // Beyond the longest wait of a client: answers just at its end are still on their way.
 constexpr Nanos kLastAnswers = 200 * kMillisecond;
 constexpr Nanos kMostWait = 20'000 * kMillisecond;  // of a call to discovery
 constexpr Nanos kLeastWait = 1'000 * kMillisecond;
-constexpr std::size_t kOwnDescriptors = 32;        // standard streams, loop, signals, listener, discovery
+constexpr Nanos kUpgradeWithin = 10'000 * kMillisecond;  // a successor is ready, or it is ended
+constexpr std::size_t kOwnDescriptors = 32;  // standard streams, loop, signals, listener, discovery, operator
 constexpr std::size_t kMemoryOfClient = 8 * 1024;  // beside half-sent commands and answers, bounded elsewhere
+constexpr std::size_t kMostShown = 1000;           // commands, to the operator
 
 std::size_t mostLinks(const protocol::Start& start) { return start.descriptors * 2 / 5; }
 
@@ -29,58 +35,151 @@
     throw protocol::Malformed(fmt::format("{} is not an address and port: '{}'", what, text));
 }
 
+std::int64_t millis(Nanos ns) { return ns / kMillisecond; }
+
 }  // namespace
 
-Program::Program(Read read)
-    : read_(std::move(read)), start_(read_()), pool_(start_.memory / 8 / transport::kBufferSize) {
-    const auto log = [this](std::string_view text) { logger_.line(text); };
+Program::Program(Wanted wanted)
+    : wanted_(std::move(wanted)),
+      told_(wanted_.read()),
+      pool_(told_.start.memory / 8 / transport::kBufferSize) {
+    protocol::Start& start = told_.start;
+    logger_.plan(told_.plan.log);
+    const auto log = [this](const char* part, Level level) {
+        return [this, part, level](std::string_view text) { say(part, level, text); };
+    };
+    asTold_ = op::described(start, told_.plan, told_.platform);
     // A descriptor more than the system gives would end in refused clients.
     rlimit files{};
     if (getrlimit(RLIMIT_NOFILE, &files) == 0) {
         files.rlim_cur =
-            std::min<rlim_t>(std::max<rlim_t>(files.rlim_cur, start_.descriptors), files.rlim_max);
+            std::min<rlim_t>(std::max<rlim_t>(files.rlim_cur, start.descriptors), files.rlim_max);
         setrlimit(RLIMIT_NOFILE, &files);
-        start_.descriptors =
-            std::max<std::size_t>(std::min<std::size_t>(start_.descriptors, files.rlim_cur), 64);
+        start.descriptors =
+            std::max<std::size_t>(std::min<std::size_t>(start.descriptors, files.rlim_cur), 64);
+    }
+    const auto listen = addressOf(start.listen, "listen");
+    core_.emplace(loop_, pool_, start, mostLinks(start), log("decisions", Level::info));
+    clients_.emplace(loop_, pool_, *core_, mostClients(start), start.memory / 16, 2 * start.idle);
+    if (!start.discovery.empty()) {
+        // What discovery holds back for a call that waits counts as told soon after; the shorter the wait,
+        // the sooner a silent discovery is noticed.
+        const Nanos wait = std::clamp(start.terms.askWithin, kLeastWait, kMostWait);
+        watch_.emplace(loop_, pool_, *core_, discoveryOf(start), start.discovery, start.known.version, wait,
+                       start.memory / 128, log("discovery", Level::warning));
+        core_->askForList = [this] { watch_->want(); };
     }
-    const auto listen = addressOf(start_.listen, "listen");
-    const auto discovery = addressOf(start_.discovery, "discovery");
-    core_.emplace(loop_, pool_, start_, mostLinks(start_), log);
-    clients_.emplace(loop_, pool_, *core_, mostClients(start_), start_.memory / 16, 2 * start_.idle);
-    // What discovery holds back for a call that waits counts as told soon after; the shorter the wait, the
-    // sooner a silent discovery is noticed.
-    const Nanos wait = std::clamp(start_.terms.askWithin, kLeastWait, kMostWait);
-    watch_.emplace(loop_, pool_, *core_, discovery, start_.discovery, start_.known.version, wait,
-                   start_.memory / 128, log);
-    core_->askForList = [this] { watch_->want(); };
     next_.emplace(loop_, [this] { enter(state_ == State::leaving ? State::draining : State::done); });
+    upgradeBy_.emplace(loop_, [this] { upgradeEnds("the new process was not ready in time"); });
+    if (!told_.plan.admin.empty())
+        admin_.emplace(loop_, pool_,
+                       [this](auto& session, const auto& asked) { return answer(session, asked); });
+    if (wanted_.takeOver) {
+        if (!admin_) throw protocol::Malformed("to take over an operator's socket is needed: [admin] socket");
+        taken_.emplace(told_.plan.admin);
+        // An upgrade changes the program; another configuration would pass for a fault of the new one.
+        if (taken_->described() != asTold_)
+            throw protocol::Malformed(
+                "can't take over: the process that serves has another configuration; reload it first");
+        if (!taken_->isAt(listen))
+            throw protocol::Malformed("can't take over: the process that serves listens elsewhere than " +
+                                      start.listen);
+        return;
+    }
     const std::string problem = clients_->listen(listen);
     if (!problem.empty())
-        throw protocol::Malformed(fmt::format("can't listen on {}: {}", start_.listen, problem));
+        throw protocol::Malformed(fmt::format("can't listen on {}: {}", start.listen, problem));
+    if (!admin_) return;
+    const std::string denied = admin_->listen(told_.plan.admin);
+    if (!denied.empty())
+        throw protocol::Malformed(
+            fmt::format("can't have the operator's socket {}: {}", told_.plan.admin, denied));
+}
+
+Program::~Program() = default;
+
+transport::Address Program::discoveryOf(const protocol::Start& start) const {
+    return addressOf(start.discovery, "discovery");
+}
+
+Nanos Program::lastFor() const {
+    return told_.plan.drainWithin ? told_.plan.drainWithin : told_.start.longestPatience + kLastAnswers;
 }
 
 void Program::leave() {
+    // Told a second time: at once.
+    if (state_ == State::leaving || state_ == State::draining) return enter(State::done);
     if (state_ == State::serving) enter(State::leaving);
 }
 
-void Program::reload() {
+nlohmann::json Program::reload() {
+    if (upgrade_) {
+        say("life", Level::warning, "goes on with the old configuration: an upgrade is under way");
+        return {{"error", "an upgrade is under way"}};
+    }
     // While it leaves too: what it still owes goes by the list.
     try {
-        protocol::Start fresh = read_();
-        const auto discovery = addressOf(fresh.discovery, "discovery");
-        fresh.terms.seed = start_.terms.seed;  // another one with each start
-        const bool more =
-            fresh.listen != start_.listen || fresh.memory != start_.memory || fresh.terms != start_.terms;
-        logger_.line(fmt::format("read its configuration anew, discovery at {}{}", fresh.discovery,
-                                 more ? "; other changes wait for the next start" : ""));
-        start_.discovery = fresh.discovery;
-        watch_->moveTo(discovery, fresh.discovery);
+        notify("RELOADING=1");
+        Told fresh = wanted_.read();
+        if (!fresh.start.discovery.empty()) discoveryOf(fresh.start);
+        if (watch_.has_value() == fresh.start.discovery.empty())
+            throw protocol::Malformed("whether there is a discovery waits for a start");
+        const auto difference = op::differenceOf(told_.start, fresh.start);
+        std::string words;
+        for (const auto& line : difference.live) words += "; " + line;
+        for (const auto& line : difference.waits) words += "; " + line;
+        say("life", Level::info,
+            fmt::format("read its configuration anew, discovery at {}{}{}", fresh.start.discovery, words,
+                        difference.waits.empty() ? "" : "; other changes wait for the next start"));
+        apply(std::move(fresh));
+        notify("READY=1");
+        return {{"changed", difference.live}, {"waits", difference.waits}};
     } catch (const std::exception& problem) {
-        logger_.line(fmt::format("goes on with the old configuration: {}", problem.what()));
+        notify("READY=1");
+        say("life", Level::error, fmt::format("goes on with the old configuration: {}", problem.what()));
+        return {{"error", problem.what()}};
     }
 }
 
+// Nothing in here can fail: all of it has been checked.
+void Program::apply(Told fresh) {
+    ++reloads_;
+    asTold_ = op::described(fresh.start, fresh.plan, fresh.platform);
+    protocol::Start& is = told_.start;
+    protocol::Start& next = fresh.start;
+    // What waits for a start stays as it is, also in what is shown.
+    next.name = is.name;
+    next.listen = is.listen;
+    next.memory = is.memory;
+    next.descriptors = is.descriptors;
+    next.terms.seed = is.terms.seed;  // another one with each start
+    next.terms.askWithin = is.terms.askWithin;
+    next.terms.fallSpan = is.terms.fallSpan;
+    next.terms.aside = is.terms.aside;
+    next.terms.originShape = is.terms.originShape;
+    next.terms.listOnRequest = is.terms.listOnRequest;
+    // A command may still be open that waits longer than any verb that is left.
+    next.longestPatience = std::max(next.longestPatience, is.longestPatience);
+    fresh.plan.admin = told_.plan.admin;
+    logger_.plan(fresh.plan.log);
+    core_->changed(next);
+    clients_->patience(2 * next.idle);
+    if (watch_)
+        watch_->moveTo(discoveryOf(next), next.discovery);
+    else
+        core_->listed(NewsKind::whole, next.known);
+    told_ = std::move(fresh);
+}
+
 int Program::run() {
+    if (taken_) {
+        // The other one stops accepting with its answer; what comes meanwhile stands in the socket's backlog.
+        taken_->ready({{"do", "ready"}, {"pid", ::getpid()}});
+        std::string problem = clients_->listenOn(taken_->takeListener());
+        if (problem.empty()) problem = admin_->listen(told_.plan.admin);
+        if (!problem.empty()) throw protocol::Malformed("can't go on with what was taken over: " + problem);
+        taken_.reset();
+    }
     enter(State::serving);
     loop_.eachTurn([this] { turn(); });
     loop_.run();
@@ -100,20 +199,179 @@
         case State::starting:
             break;
         case State::serving:
-            logger_.line(fmt::format("{} serves on {}", start_.name, start_.listen));
+            say("life", Level::info, fmt::format("{} serves on {}", told_.start.name, told_.start.listen));
+            notify(fmt::format("READY=1\nMAINPID={}", ::getpid()));
             break;
         case State::leaving:
-            logger_.line(fmt::format("{} was told to stop; {} commands open", start_.name, core_->open()));
+            say("life", Level::info,
+                fmt::format("{} was told to stop; {} commands open", told_.start.name, core_->open()));
+            notify("STOPPING=1");
             next_->set(now + kLeaving);
             break;
         case State::draining:
             clients_->close();
-            next_->set(now + start_.longestPatience + kLastAnswers);
+            next_->set(now + lastFor());
             break;
-        case State::done:
-            logger_.line(fmt::format("{} stops; {} clients left", start_.name, clients_->count()));
+        case State::done: {
+            std::map<std::string, int> left;
+            for (const auto& s : core_->standing(kMostShown))
+                if (s.asked) ++left[s.verb];
+            std::string words;
+            for (const auto& [verb, count] : left) words += fmt::format(", {} {} unanswered", count, verb);
+            say("life", left.empty() ? Level::info : Level::warning,
+                fmt::format("{} stops; {} clients left{}", told_.start.name, clients_->count(), words));
             loop_.stop();
             break;
+        }
+    }
+}
+
+// ---- the operator
+
+nlohmann::json Program::answer(admin::Session& session, const nlohmann::json& asked) {
+    const auto what = asked.value("do", "");
+    if (what == "status") return status();
+    if (what == "commands") return commands();
+    if (what == "caches") return caches();
+    if (what == "reload") return reload();
+    if (what == "drain") {
+        if (state_ != State::serving) return {{"error", "it leaves already"}};
+        leave();
+        return {{"open", core_->open()}};
+    }
+    if (what == "stop") {
+        const auto open = core_->open();
+        enter(State::done);
+        return {{"open", open}};
+    }
+    if (what == "upgrade") return upgrade(session, asked);
+    if (what == "take-over") return giveSockets(session);
+    if (what == "ready") return successorReady(session, asked);
+    return {{"error", fmt::format("'{}' is not known here", what.substr(0, 40))}};
+}
+
+nlohmann::json Program::status() {
+    static constexpr const char* states[] = {"starting", "serving", "leaving", "draining", "done"};
+    return {{"name", told_.start.name},
+            {"state", states[static_cast<int>(state_)]},
+            {"pid", ::getpid()},
+            {"up_ms", millis(transport::Loop::now() - startedAt_)},
+            {"listen", told_.start.listen},
+            {"discovery", told_.start.discovery},
+            {"open", core_->open()},
+            {"clients", clients_->count()},
+            {"links", core_->links()},
+            {"reloads", reloads_},
+            {"upgrading", upgrade_.has_value()},
+            {"described", op::described(told_.start, told_.plan, told_.platform)}};
+}
+
+nlohmann::json Program::commands() {
+    const Nanos now = transport::Loop::now();
+    auto all = nlohmann::json::array();
+    for (const auto& s : core_->standing(kMostShown))
+        all.push_back({{"id", s.id},
+                       {"verb", s.verb},
+                       {"customer", s.customer},
+                       {"key", s.key},
+                       {"age_ms", millis(now - s.since)},
+                       {"left_ms", millis(s.giveUpAt - now)},
+                       {"relays", s.relays},
+                       {"waited_for", s.asked},
+                       {"at", s.at},
+                       {"out_ms", s.at.empty() ? 0 : millis(now - s.sentAt)}});
+    return {{"open", core_->open()}, {"commands", std::move(all)}};
+}
+
+nlohmann::json Program::caches() {
+    static constexpr const char* presences[] = {"gone", "ready", "draining"};
+    const Nanos now = transport::Loop::now();
+    auto all = nlohmann::json::array();
+    for (const Belief& b : core_->beliefs())
+        all.push_back({{"name", b.name},
+                       {"zone", b.zone},
+                       {"kind", b.origin ? "origin" : "cache"},
+                       {"state", presences[static_cast<int>(b.presence)]},
+                       {"out", b.out},
+                       {"window", b.window},
+                       {"warmth", b.warmth},
+                       {"heard", b.heard},
+                       {"failed", b.failed},
+                       {"lateness", b.lateness},
+                       {"hints", b.hints},
+                       {"aside_ms", std::max<std::int64_t>(millis(b.asideUntil - now), 0)}});
+    return {{"caches", std::move(all)}};
+}
+
+// ---- the upgrade
+
+nlohmann::json Program::upgrade(admin::Session& session, const nlohmann::json& asked) {
+    if (upgrade_) return {{"error", "an upgrade is under way"}};
+    if (state_ != State::serving) return {{"error", "it leaves already"}};
+    auto line = wanted_.newcomer;
+    if (asked.contains("program")) line[0] = asked["program"].get<std::string>();
+    Upgrade begun;
+    try {
+        begun.process = std::make_unique<Successor>(line);
+    } catch (const std::exception& problem) {
+        return {{"error", problem.what()}};
+    }
+    begun.asked = &session;
+    session.gone = [this] {
+        if (upgrade_) upgrade_->asked = nullptr;  // nobody waits for it, but it goes on
+    };
+    say("life", Level::info,
+        fmt::format("starts {} as process {} to take over", line[0], begun.process->pid()));
+    upgrade_ = std::move(begun);
+    upgradeBy_->set(transport::Loop::now() + kUpgradeWithin);
+    return nullptr;  // the answer comes when it is known
+}
+
+nlohmann::json Program::giveSockets(admin::Session& session) {
+    if (state_ != State::serving) return {{"error", "it leaves already"}};
+    if (upgrade_ && upgrade_->heir) return {{"error", "another process is taking over"}};
+    if (!upgrade_) {
+        // One that was not started from here may come too: a supervisor's.
+        upgrade_.emplace();
+        upgradeBy_->set(transport::Loop::now() + kUpgradeWithin);
+    }
+    upgrade_->heir = &session;
+    session.gone = [this] {
+        if (upgrade_) upgradeEnds("the new process went before it was ready");
+    };
+    session.say({{"described", asTold_}});
+    if (!session.pass(clients_->descriptor())) upgradeEnds("the listening socket could not be passed");
+    return nullptr;
+}
+
+nlohmann::json Program::successorReady(admin::Session& session, const nlohmann::json& asked) {
+    if (!upgrade_ || upgrade_->heir != &session) return {{"error", "nothing was taken over"}};
+    Upgrade done = std::move(*upgrade_);
+    upgrade_.reset();
+    upgradeBy_->clear();
+    session.gone = {};
+    if (done.process) done.process->letGo();
+    const auto pid = asked.value("pid", 0);
+    say("life", Level::info, fmt::format("process {} takes over; {} commands open", pid, core_->open()));
+    if (done.asked) {
+        done.asked->gone = {};
+        done.asked->say({{"taken_over_by", pid}});
+    }
+    clients_->handedOver();
+    admin_->leavePath();
+    enter(State::draining);
+    return {{"ok", true}};
+}
+
+void Program::upgradeEnds(const std::string& problem) {
+    Upgrade ended = std::move(*upgrade_);
+    upgrade_.reset();
+    upgradeBy_->clear();
+    say("life", Level::error, fmt::format("goes on as before: {}", problem));
+    if (ended.heir) ended.heir->gone = {};
+    if (ended.asked) {
+        ended.asked->gone = {};
+        ended.asked->say({{"error", problem}});
     }
 }
 
--- a/src/program/program.hpp
+++ b/src/program/program.hpp
@@ -6,7 +6,12 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
+#include "admin/server.hpp"
+#include "operator/plan.hpp"
+#include "program/hand_over.hpp"
 #include "program/logger.hpp"
 #include "protocol/discovery.hpp"
 #include "routing/clients.hpp"
@@ -17,10 +22,23 @@
 
 namespace poppyscale::program {
 
+// All that an instance is told: by the platform's configuration, the operator's file, or both.
+struct Told {
+    protocol::Start start;
+    op::Plan plan;
+    bool platform = true;  // the deployment is described by the platform's configuration
+};
+
+struct Wanted {
+    std::function<Told()> read;         // throws protocol::Malformed
+    bool takeOver = false;              // the sockets of the process that serves so far
+    std::vector<std::string> newcomer;  // the command line by which an upgrade starts its successor
+};
+
 class Program {
   public:
-    using Read = std::function<protocol::Start()>;
-    explicit Program(Read read);
+    explicit Program(Wanted wanted);
+    ~Program();
     // The exit code.
     int run();
 
@@ -32,13 +50,32 @@
     void enter(State state);
     void turn();
     void leave();
-    // Reads the configuration anew; what is not usable changes nothing.
-    void reload();
+    // Reads everything anew; what is not usable changes nothing. What came of it, in words.
+    nlohmann::json reload();
+    void apply(Told fresh);
+    void say(std::string_view part, op::Level level, std::string_view text) {
+        logger_.line(part, level, text);
+    }
+    transport::Address discoveryOf(const protocol::Start& start) const;
+    Nanos lastFor() const;
+
+    nlohmann::json answer(admin::Session& session, const nlohmann::json& asked);
+    nlohmann::json status();
+    nlohmann::json commands();
+    nlohmann::json caches();
+    // Hand-over to a successor: it has until an alarm to be ready, and till then all goes on as before.
+    nlohmann::json upgrade(admin::Session& session, const nlohmann::json& asked);
+    nlohmann::json giveSockets(admin::Session& session);
+    nlohmann::json successorReady(admin::Session& session, const nlohmann::json& asked);
+    void upgradeEnds(const std::string& problem);
 
+    Wanted wanted_;
     Logger logger_;
-    Read read_;
-    protocol::Start start_;
+    Told told_;
+    std::string asTold_;  // what the files said, with what waits for a start
     State state_ = State::starting;
+    Nanos startedAt_ = transport::Loop::now();
+    int reloads_ = 0;
     // The loop goes first: its handles close as it does, and give their buffers back.
     transport::Pool pool_;
     transport::Loop loop_;
@@ -46,9 +83,22 @@
     std::optional<routing::Clients> clients_;
     std::optional<routing::Watch> watch_;
     std::optional<transport::Alarm> next_;
+    std::optional<TakenOver> taken_;
+    struct Upgrade {
+        admin::Session* asked = nullptr;  // who waits for how it goes
+        admin::Session* heir = nullptr;   // the successor, once it has come
+        std::unique_ptr<Successor> process;
+    };
+    std::optional<Upgrade> upgrade_;
+    std::optional<transport::Alarm> upgradeBy_;
+    std::optional<admin::Server> admin_;
     transport::Signal terminate_{loop_, SIGTERM, [this] { leave(); }};
     transport::Signal interrupt_{loop_, SIGINT, [this] { leave(); }};
     transport::Signal hangUp_{loop_, SIGHUP, [this] { reload(); }};
+    transport::Signal child_{loop_, SIGCHLD, [this] {
+                                 if (upgrade_ && upgrade_->process && upgrade_->process->ended())
+                                     upgradeEnds("the new process ended before it was ready");
+                             }};
 };
 
 }  // namespace poppyscale::program
--- a/src/routing/clients.hpp
+++ b/src/routing/clients.hpp
@@ -22,6 +22,12 @@
     ~Clients();
 
     std::string listen(const transport::Address& at) { return listener_->listen(at); }
+    // On a socket that another process has listened on so far.
+    std::string listenOn(int descriptor) { return listener_->listenOn(descriptor); }
+    int descriptor() const { return listener_ ? listener_->descriptor() : -1; }
+    // Another process accepts from now on, also what stands in the backlog.
+    void handedOver() { listener_.reset(); }
+    void patience(Nanos patience) { patience_ = patience; }
     // Takes what the kernel has accepted, then no more; connections are closed as soon as nothing is owed.
     void close();
     bool closed() const { return closing_ && clients_.empty(); }
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -51,6 +51,7 @@
     auto made = std::make_unique<Command>();
     Command& command = *made;
     command.id = ++lastId_;
+    command.takenAt = now;
     command.asker = &asker;
     command.giveUpAt = now + said.patience;
     command.said = std::move(said);
@@ -61,6 +62,41 @@
     return {&command, {}};
 }
 
+void Core::changed(const protocol::Start& start) {
+    verbs_.clear();
+    for (const Verb& verb : start.terms.verbs) verbs_.insert(verb.name);
+    mostOpen_ = start.mostOpen;
+    links_.keepIdle = start.idle / 2;
+    links_.connectWithin = start.connectWithin;
+    // In its place among the events: what came before it has arrived under the terms before.
+    events_.push_back({transport::Loop::now(), Changed{start.terms}});
+}
+
+std::vector<Standing> Core::standing(std::size_t most) const {
+    std::unordered_map<const Upstream*, std::string_view> names;
+    for (const auto& [name, upstream] : upstreams_) names[upstream.get()] = name;
+    std::vector<const Command*> order;
+    for (const auto& [id, command] : commands_) order.push_back(command.get());
+    std::sort(order.begin(), order.end(), [](const Command* a, const Command* b) { return a->id < b->id; });
+    std::vector<Standing> all;
+    for (const Command* c : order) {
+        if (all.size() >= most) break;
+        Standing& s = all.emplace_back();
+        s.id = c->said.id;
+        s.verb = c->said.verb;
+        s.customer = c->said.customer;
+        s.key = c->said.key;
+        s.since = c->takenAt;
+        s.giveUpAt = c->giveUpAt;
+        s.relays = c->relays;
+        s.asked = c->asker != nullptr;
+        if (!c->out) continue;
+        s.at = names[&c->out->to];
+        s.sentAt = c->out->sentAt;
+    }
+    return all;
+}
+
 void Core::left(Command& command) {
     command.asker = nullptr;
     events_.push_back({transport::Loop::now(), Left{command.id}});
@@ -120,6 +156,8 @@
         router_.left(event.at, left->id);
         const auto it = commands_.find(left->id);
         if (it != commands_.end() && !it->second->out) forget(left->id);
+    } else if (const auto* changed = std::get_if<Changed>(&event.what)) {
+        router_.changed(event.at, changed->terms);
     } else {
         const auto& news = std::get<News>(event.what);
         router_.news(event.at, news.kind, news.entries);
--- a/src/routing/core.hpp
+++ b/src/routing/core.hpp
@@ -37,6 +37,7 @@
 
 struct Command {
     CommandId id = 0;
+    Nanos takenAt = 0;
     protocol::Command said;
     Asker* asker = nullptr;  // null once told, or when the client has left
     Nanos giveUpAt = 0;
@@ -44,6 +45,17 @@
     std::unique_ptr<Relay> out;
 };
 
+// A command as it stands, to be looked at.
+struct Standing {
+    std::string id, verb, customer, key;
+    Nanos since = 0;
+    Nanos giveUpAt = 0;
+    int relays = 0;
+    bool asked = false;  // somebody still waits for its answer
+    std::string at;      // where a relay is out, or empty
+    Nanos sentAt = 0;
+};
+
 using Log = std::function<void(std::string_view)>;
 
 class Core : private Host, private RelayOwner {
@@ -60,6 +72,12 @@
     Taken take(Asker& asker, protocol::Command said, Nanos now);
     void left(Command& command);
     std::size_t open() const { return commands_.size(); }
+    std::size_t links() const { return links_.count; }
+    // The oldest first, `most` of them.
+    std::vector<Standing> standing(std::size_t most) const;
+    std::vector<Belief> beliefs() { return router_.beliefs(transport::Loop::now()); }
+    // Other verbs, customers and figures from the next turn on; what is open ends by what it came under.
+    void changed(const protocol::Start& start);
 
     void listed(NewsKind kind, const protocol::Roster& roster);
     void listFailed();
@@ -83,9 +101,12 @@
         NewsKind kind;
         std::vector<Listed> entries;
     };
+    struct Changed {
+        Terms terms;
+    };
     struct Event {
         Nanos at;
-        std::variant<Arrived, Ended, Left, News> what;
+        std::variant<Arrived, Ended, Left, News, Changed> what;
     };
     struct Send {
         Upstream* to;
--- a/src/text/table.hpp
+++ b/src/text/table.hpp
@@ -50,6 +50,7 @@
     std::string text(std::string_view key, std::optional<std::string> otherwise);
     std::vector<std::string> texts(std::string_view key);
     bool has(std::string_view key) const { return table_.contains(key); }
+    void skip(std::string_view key) { asked_.emplace(key); }  // known, but read elsewhere
 
     template <class T>
     T word(std::string_view key, const Words<T>& words, std::optional<T> otherwise) {
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -35,7 +35,11 @@
         std::unique_ptr<Buffer> buffer;
         std::size_t size;
     };
-    uv_tcp_t tcp{};
+    union Stream {
+        uv_tcp_t tcp;
+        uv_pipe_t local;
+    } socket{};
+    const Kind kind;
     uv_connect_t connect{};
     uv_shutdown_t shutdown{};
     Pool& pool;
@@ -47,12 +51,16 @@
     std::size_t queued = 0;
     std::uint64_t sent = 0;
 
-    Handle(Pool& pool, Owner& owner) : pool(pool), owner(&owner) { tcp.data = write.data = this; }
+    Handle(Pool& pool, Owner& owner, Kind kind) : kind(kind), pool(pool), owner(&owner) { write.data = this; }
     ~Handle() {
         if (reading) pool.give(std::move(reading));
         for (Piece& piece : queue) pool.give(std::move(piece.buffer));
     }
-    uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&tcp); }
+    uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&socket); }
+    uv_handle_t* handle() { return reinterpret_cast<uv_handle_t*>(&socket); }
+    void atOnce() {
+        if (kind == Kind::tcp) uv_tcp_nodelay(&socket.tcp, 1);
+    }
     static Handle& of(void* data) { return *static_cast<Handle*>(data); }
 
     bool enqueue(std::string_view bytes) {
@@ -93,36 +101,40 @@
     }
 };
 
-Connection::Connection(Loop& loop, Pool& pool, Owner& owner) : handle_(new Handle(pool, owner)) {
-    uv_tcp_init(loop.raw(), &handle_->tcp);
+Connection::Connection(Loop& loop, Pool& pool, Owner& owner, Kind kind)
+    : handle_(new Handle(pool, owner, kind)) {
+    if (kind == Kind::tcp)
+        uv_tcp_init(loop.raw(), &handle_->socket.tcp);
+    else
+        uv_pipe_init(loop.raw(), &handle_->socket.local, 0);
+    handle_->handle()->data = handle_;
 }
 
 Connection::~Connection() {
     handle_->owner = nullptr;
-    uv_close(reinterpret_cast<uv_handle_t*>(&handle_->tcp),
-             [](uv_handle_t* h) { delete static_cast<Handle*>(h->data); });
+    uv_close(handle_->handle(), [](uv_handle_t* h) { delete static_cast<Handle*>(h->data); });
 }
 
 bool Connection::open(const Address& to) {
     handle_->connect.data = handle_;
-    return uv_tcp_connect(&handle_->connect, &handle_->tcp, reinterpret_cast<const sockaddr*>(&to),
+    return uv_tcp_connect(&handle_->connect, &handle_->socket.tcp, reinterpret_cast<const sockaddr*>(&to),
                           [](uv_connect_t* request, int status) {
                               Handle& handle = Handle::of(request->data);
                               if (!handle.owner) return;
-                              if (status == 0) uv_tcp_nodelay(&handle.tcp, 1);
+                              if (status == 0) handle.atOnce();
                               handle.owner->opened(status == 0);
                           }) == 0;
 }
 
 bool Connection::accept(uv_stream_t* listener) {
     if (uv_accept(listener, handle_->stream()) != 0) return false;
-    uv_tcp_nodelay(&handle_->tcp, 1);
+    handle_->atOnce();
     return true;
 }
 
 bool Connection::adopt(int descriptor) {
-    if (uv_tcp_open(&handle_->tcp, descriptor) != 0) return ::close(descriptor), false;
-    uv_tcp_nodelay(&handle_->tcp, 1);
+    if (uv_tcp_open(&handle_->socket.tcp, descriptor) != 0) return ::close(descriptor), false;
+    handle_->atOnce();
     return true;
 }
 
@@ -172,10 +184,14 @@
 
 // As recv tells it: bytes, 0 at the end, below 0 an error, which is what an open and silent one has too.
 long Connection::peek() const {
-    uv_os_fd_t descriptor{};
     char byte = 0;
-    if (uv_fileno(reinterpret_cast<uv_handle_t*>(&handle_->tcp), &descriptor) != 0) return 0;
-    return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const int from = descriptor();
+    return from < 0 ? 0 : recv(from, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+}
+
+int Connection::descriptor() const {
+    uv_os_fd_t descriptor{};
+    return uv_fileno(handle_->handle(), &descriptor) == 0 ? descriptor : -1;
 }
 
 bool Connection::bytesWait() const { return peek() > 0; }
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -1,4 +1,5 @@
-// A TCP connection, ours or a client's. Closed when it is destroyed, which its owner may do in any call.
+// A connection, ours or a client's: TCP, or local by a Unix socket. Closed when it is destroyed, which its
+// owner may do in any call.
 #pragma once
 
 #include <netinet/in.h>
@@ -30,14 +31,15 @@
         virtual void emptied() {}  // all that was written is with the kernel
     };
 
-    Connection(Loop& loop, Pool& pool, Owner& owner);
+    enum class Kind : std::uint8_t { tcp, local };
+    Connection(Loop& loop, Pool& pool, Owner& owner, Kind kind = Kind::tcp);
     ~Connection();
     Connection(const Connection&) = delete;
     Connection& operator=(const Connection&) = delete;
 
     bool open(const Address& to);        // then `opened`
     bool accept(uv_stream_t* listener);  // from a listener's call
-    bool adopt(int descriptor);          // one accepted by hand
+    bool adopt(int descriptor);          // one accepted by hand; of TCP only
     void read(bool on);
     // False when the peer is gone or the pool is empty; the connection is of no further use then.
     bool write(std::string_view bytes);
@@ -47,6 +49,8 @@
     bool bytesWait() const;      // something stands in the kernel that was not read
     bool quiet() const;          // nothing does, and the peer has not ended it either
 
+    int descriptor() const;  // of the system; below 0 without one
+
   private:
     long peek() const;
     struct Handle;
--- a/tests/helper.hpp
+++ b/tests/helper.hpp
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
@@ -284,24 +285,40 @@
 // The program, started with what is given and ended with the story.
 class Program {
   public:
-    explicit Program(const std::string& configuration) {
+    // With an operator's file, its {} is the folder; without a configuration the file has to say all.
+    explicit Program(const std::string& configuration, std::string operatorFile = "") {
         char folder[] = "/tmp/poppyscale-test-XXXXXX";
         if (!mkdtemp(folder)) throw std::runtime_error("no folder for a configuration");
         folder_ = folder;
         std::ofstream(folder_ + "/config.json") << configuration;
         setenv("ROUTER_CONFIG", (folder_ + "/config.json").c_str(), 1);
+        if (configuration.empty()) unsetenv("ROUTER_CONFIG");
+        operate(operatorFile);
+        start(!operatorFile.empty());
+    }
+    void operate(std::string text) const {
+        for (auto at = text.find("{}"); at != std::string::npos; at = text.find("{}"))
+            text.replace(at, 2, folder_);
+        std::ofstream(folder_ + "/operator.toml") << text;
+    }
+    void start(bool withOperator) {
         const std::string log = folder_ + "/log";
         pid_ = fork();
         if (pid_ == 0) {
             if (!freopen(log.c_str(), "w", stderr)) _exit(126);
+            const std::string file = folder_ + "/operator.toml";
+            if (withOperator)
+                execl(POPPYSCALE_PROGRAM, POPPYSCALE_PROGRAM, "serve", "--operator", file.c_str(), nullptr);
             execl(POPPYSCALE_PROGRAM, "poppyscale", nullptr);
             _exit(127);
         }
     }
+    const std::string& folder() const { return folder_; }
+    std::string door() const { return folder_ + "/admin.sock"; }
+    pid_t pid() const { return pid_; }
     ~Program() {
         if (pid_ > 0) kill(pid_, SIGKILL), waitpid(pid_, nullptr, 0);
-        for (const char* name : {"/config.json", "/log", ""})
-            if (std::remove((folder_ + name).c_str()) != 0) break;
+        std::filesystem::remove_all(folder_);
     }
     void signal(int number) const { kill(pid_, number); }
     void configure(const std::string& text) const { std::ofstream(folder_ + "/config.json") << text; }
--- a/tests/lab_world_test.cpp
+++ b/tests/lab_world_test.cpp
@@ -150,8 +150,9 @@
 
 TEST_CASE("each malformed scenario is refused with its file, line and key") {
     // All that is wrong, not only the first.
-    CHECK(complaint("count = 3", "cuont = 3") ==
-          "day.toml:5: routers.count: is missing\nday.toml:6: routers.cuont: is not a key that is known here");
+    CHECK(
+        complaint("count = 3", "cuont = 3") ==
+        "day.toml:5: routers.count: is missing\nday.toml:6: routers.cuont: is not a key that is known here");
     CHECK(complaint("cores = 5", "cores = 5\nspede = 1") ==
           "day.toml:15: caches[0].spede: is not a key that is known here");
     CHECK(complaint("count = 12", "count = \"twelve\"") ==
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -566,7 +566,7 @@
     World w;
     CHECK(w.ask(1, "k", "pay") != "");
     Terms looser = smallTerms(false);
-    looser.verbs[2].effect = Effect::pure;  // pay may now be repeated
+    looser.verbs[2].effect = Effect::pure;     // pay may now be repeated
     looser.verbs.erase(looser.verbs.begin());  // and read is no more
     looser.maxRelays = 9;
     w.router.changed(1 * ms, looser);
