--- /dev/null
+++ b/tests/daemon_test.cpp
@@ -0,0 +1,323 @@
+// Stories of the program as a daemon: the operator's file and socket, reloads, the hand-over, orderly ends.
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <sys/un.h>
+
+#include <array>
+#include <cstring>
+#include <fstream>
+
+#include "helper.hpp"
+#include "operator/plan.hpp"
+
+using namespace poppyscale;
+using namespace poppyscale::test;
+
+namespace {
+
+const std::string kAdmin = "[admin]\nsocket = \"{}/admin.sock\"\n";
+
+// An instance with an operator's socket beside the platform's configuration, or without that.
+struct Daemon {
+    explicit Daemon(nlohmann::json start = smallStart())
+        : port(Door().port), program(platform(std::move(start)).dump(), kAdmin) {
+        ready();
+    }
+    explicit Daemon(const std::string& file) : port(Door().port), program("", whole(file)) { ready(); }
+
+    void ready() const {
+        for (int tries = 0; tries < 200 && client().say("*1\r\n$4\r\nPING\r\n").line() != "+PONG"; ++tries)
+            usleep(20'000);
+    }
+    nlohmann::json platform(nlohmann::json start) const {
+        start["listen"] = "127.0.0.1:" + std::to_string(port);
+        start["discovery"] = discovery.address();
+        start["known"] = {{"version", 7},
+                          {"full", true},
+                          {"servers", {entryOf("origin", origin, "origin"), entryOf("c0", cache)}}};
+        return start;
+    }
+    std::string whole(const std::string& more) const {
+        return kAdmin + "[instance]\nname = \"n0\"\nlisten = \"127.0.0.1:" + std::to_string(port) +
+               "\"\n[[servers]]\nname = \"origin\"\norigin = true\naddress = \"" + origin.address() +
+               "\"\n[[servers]]\nname = \"c0\"\naddress = \"" + cache.address() + "\"\n" + more;
+    }
+    Socket client() const { return Socket(port); }
+
+    // One question at the operator's socket, on a connection of its own.
+    nlohmann::json ask(const nlohmann::json& what) const {
+        Local door(program.door());
+        door.say(what);
+        return door.line();
+    }
+
+    struct Local {
+        explicit Local(const std::string& path) : fd(socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+            sockaddr_un at{};
+            at.sun_family = AF_UNIX;
+            std::strncpy(at.sun_path, path.c_str(), sizeof at.sun_path - 1);
+            open = connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0;
+        }
+        ~Local() { close(fd); }
+        void say(const nlohmann::json& what) const {
+            const std::string text = what.dump() + "\n";
+            (void)!send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+        }
+        // Null when the other side has gone. By single bytes, as a descriptor may follow.
+        nlohmann::json line(int within = 3 * kSoon) const {
+            std::string text;
+            for (char byte = 0; readable(fd, within) && recv(fd, &byte, 1, 0) == 1 && byte != '\n';) text += byte;
+            return nlohmann::json::parse(text, nullptr, false);
+        }
+        int descriptor() const {
+            char byte = 0;
+            iovec piece{&byte, 1};
+            alignas(cmsghdr) char room[CMSG_SPACE(sizeof(int))] = {};
+            msghdr message{};
+            message.msg_iov = &piece;
+            message.msg_iovlen = 1;
+            message.msg_control = room;
+            message.msg_controllen = sizeof room;
+            int passed = -1;
+            if (readable(fd, kSoon) && recvmsg(fd, &message, 0) == 1 && CMSG_FIRSTHDR(&message))
+                std::memcpy(&passed, CMSG_DATA(CMSG_FIRSTHDR(&message)), sizeof passed);
+            return passed;
+        }
+        int fd;
+        bool open = false;
+    };
+
+    Door discovery, origin, cache;
+    std::uint16_t port;
+    Program program;
+};
+
+const std::string kVerbs =
+    "[[verbs]]\nname = \"read\"\neffect = \"pure\"\ngoal_ms = 500\nlimit_ms = 2000\n"
+    "[[verbs]]\nname = \"pay\"\neffect = \"effectful\"\ngoal_ms = 500\nlimit_ms = 2000\n";
+
+std::string problemsOf(const std::string& text, bool platform) {
+    text::Problems problems("op.toml");
+    op::readPlan(text, "op.toml", platform, problems);
+    return problems.text();
+}
+
+bool soon(const std::function<bool()>& is) {
+    for (int tries = 0; tries < kSoon / 10; ++tries) {
+        if (is()) return true;
+        usleep(10'000);
+    }
+    return false;
+}
+
+}  // namespace
+
+TEST_CASE("all problems of an operator's file are told, each with its line and key") {
+    const std::string text = problemsOf(
+        "[instance]\nlisten = \"nowhere\"\n[log]\nlevel = \"loud\"\nshape = 1\n[[verbs]]\nname = \"read\"\n"
+        "effect = \"pure\"\ngoal_ms = 500\nlimit_ms = 100\n[[servers]]\nname = \"c0\"\naddress = 7\n",
+        false);
+    for (const char* line :
+         {"op.toml:1: instance.name: is missing", "op.toml:2: instance.listen: is not an IPv4 address and port",
+          "op.toml:4: log.level: 'loud' is none of debug, info, warning, error, off",
+          "op.toml:5: log.shape: is not a key that is known here", "op.toml:9: verbs[0].goal_ms: is not from 1 to limit_ms",
+          "op.toml:13: servers[0].address: is not a text", "servers: exactly one of them must have origin = true"})
+        CHECK_MESSAGE(text.find(line) != std::string::npos, line, "\n", text);
+    // What the platform says may not be said twice.
+    CHECK(problemsOf("[[verbs]]\nname = \"read\"\n", true) ==
+          "op.toml:1: verbs: is the platform's to say: its configuration is there and holds");
+    CHECK(problemsOf("[log]\nform = \"json\"\n[log.parts]\nrouting = \"debug\"\n", true) == "");
+}
+
+TEST_CASE("an instance without discovery serves by the list in its file, and a reload changes that list") {
+    Daemon d(kVerbs);
+    Socket client = d.client();
+    client.say(get("plum"));
+    Socket cache = d.cache.accept();
+    CHECK(cache.command().at(1) == "plum");
+    cache.say(hit("V"));
+    CHECK(client.answer() == "V");
+    const Door other;
+    std::string file = d.whole(kVerbs);
+    file.replace(file.find(d.cache.address()), d.cache.address().size(), other.address());
+    d.program.operate(file);
+    CHECK(d.ask({{"do", "reload"}}).contains("changed"));
+    client.say(get("pear"));
+    Socket next = const_cast<Door&>(other).accept();
+    CHECK(next.command().at(1) == "pear");
+    next.say(hit("W"));
+    CHECK(client.answer() == "W");
+}
+
+TEST_CASE("a reload while an effectful command is out ends in one final answer, though its verb is no more") {
+    Daemon d;
+    Socket client = d.client();
+    client.say(set("bill", "c=pay,t=north,d=900"));
+    Socket origin = d.origin.accept();
+    CHECK(origin.head().size() >= 4);
+    auto start = d.platform(smallStart());
+    start["settings"]["verbs"].erase(2);
+    d.program.configure(start.dump());
+    const auto said = d.ask({{"do", "reload"}});
+    CHECK(said.at("changed").dump().find("verb pay is no more") != std::string::npos);
+    // Open under the terms it came by; a new one is told that nobody knows its verb.
+    const auto open = d.ask({{"do", "commands"}});
+    CHECK(open.at("commands").at(0).at("verb") == "pay");
+    CHECK(open.at("commands").at(0).at("at") == "origin");
+    Socket second = d.client();
+    second.say(set("bill2", "c=pay,t=north,d=900"));
+    CHECK(second.answer() == "-ERR unknown verb");
+    origin.reset();  // it may have run: no second relay, no decline
+    CHECK(client.answer() == "-ERR failed");
+    CHECK(client.quiet(200));
+    CHECK(d.origin.quiet(200));
+}
+
+TEST_CASE("two reloads at once, and one that can't be used, leave one configuration whole") {
+    Daemon d;
+    auto start = d.platform(smallStart());
+    start["settings"]["allowed"]["maxOpen"] = 7;
+    d.program.configure(start.dump());
+    const Daemon::Local one(d.program.door()), two(d.program.door());
+    one.say({{"do", "reload"}});
+    two.say({{"do", "reload"}});
+    CHECK(one.line().at("changed").size() + two.line().at("changed").size() == 1);
+    d.program.configure("{\"name\":");
+    CHECK(d.ask({{"do", "reload"}}).contains("error"));
+    CHECK(d.ask({{"do", "status"}}).at("reloads") == 2);
+    CHECK(d.ask({{"do", "status"}}).at("described").get<std::string>().find("open                   7\n") !=
+          std::string::npos);
+}
+
+TEST_CASE("a successor takes the sockets over; what is open is answered by the old one, nobody is refused") {
+    Daemon d;
+    Socket client = d.client();
+    client.say(set("bill", "c=pay,t=north,d=900"));
+    Socket origin = d.origin.accept();
+    origin.head();
+    const Daemon::Local door(d.program.door());
+    door.say({{"do", "upgrade"}});
+    const auto said = door.line();
+    REQUIRE(said.contains("taken_over_by"));
+    const pid_t heir = said.at("taken_over_by");
+    // A new connection is the successor's, the old command still the old one's.
+    Socket second = d.client();
+    second.say("*1\r\n$4\r\nPING\r\n");
+    CHECK(second.line() == "+PONG");
+    CHECK(soon([&] { return d.ask({{"do", "status"}}).value("pid", 0) == heir; }));
+    origin.say(http(200, "receipt"));
+    CHECK(client.answer() == "receipt");
+    CHECK(d.program.exitCode() == 0);
+    second.say("*1\r\n$4\r\nPING\r\n");
+    CHECK(second.line() == "+PONG");
+    CHECK(d.ask({{"do", "stop"}}).contains("open"));
+    CHECK(soon([&] { return kill(heir, 0) != 0; }));
+}
+
+TEST_CASE("a successor that fails before it is ready changes nothing") {
+    Daemon d;
+    const auto serves = [&] {
+        Socket client = d.client();
+        client.say("*1\r\n$4\r\nPING\r\n");
+        return client.line() == "+PONG" && d.ask({{"do", "status"}}).value("state", "") == "serving";
+    };
+    CHECK(d.ask({{"do", "upgrade"}, {"program", "/bin/false"}}).at("error") ==
+          "the new process ended before it was ready");
+    CHECK(d.ask({{"do", "upgrade"}, {"program", "/nowhere/router"}}).contains("error"));
+    CHECK(serves());
+    {  // Killed when it has the socket and has not said that it is ready.
+        const Daemon::Local heir(d.program.door());
+        heir.say({{"do", "take-over"}});
+        CHECK(heir.line().contains("described"));
+        const int passed = heir.descriptor();
+        CHECK(passed >= 0);
+        CHECK(d.ask({{"do", "take-over"}}).contains("error"));
+        CHECK(d.ask({{"do", "reload"}}).at("error") == "an upgrade is under way");
+        CHECK(d.ask({{"do", "ready"}}).contains("error"));  // said by another than the heir
+        close(passed);
+    }
+    CHECK(soon([&] { return !d.ask({{"do", "status"}}).at("upgrading").get<bool>(); }));
+    CHECK(serves());
+    // One that runs by an older configuration than what serves is turned away.
+    auto start = d.platform(smallStart());
+    start["settings"]["allowed"]["maxOpen"] = 9;
+    d.program.configure(start.dump());
+    CHECK(d.ask({{"do", "upgrade"}}).contains("error"));
+    CHECK(serves());
+    CHECK(d.program.log().find("reload it first") != std::string::npos);
+}
+
+TEST_CASE("a successor that hangs is ended, and all goes on") {
+    Daemon d;
+    const std::string script = d.program.folder() + "/hangs";
+    std::ofstream(script) << "#!/bin/sh\nexec sleep 60\n";
+    chmod(script.c_str(), 0755);
+    const auto said = d.ask({{"do", "upgrade"}, {"program", script}});
+    CHECK(said.at("error") == "the new process was not ready in time");
+    CHECK(d.ask({{"do", "status"}}).at("state") == "serving");
+}
+
+TEST_CASE("the operator's socket opens to its owner alone, and a crash leaves nothing that stops the next start") {
+    Daemon d;
+    struct stat at{};
+    REQUIRE(stat(d.program.door().c_str(), &at) == 0);
+    CHECK((at.st_mode & 0777) == 0600);
+    d.program.signal(SIGKILL);
+    CHECK(d.program.exitCode() == -SIGKILL);
+    CHECK(stat(d.program.door().c_str(), &at) == 0);
+    d.program.start(true);
+    d.ready();
+    CHECK(d.ask({{"do", "status"}}).at("state") == "serving");
+    d.program.signal(SIGTERM);
+    CHECK(d.program.exitCode() == 0);
+    CHECK(stat(d.program.door().c_str(), &at) != 0);
+}
+
+TEST_CASE("nonsense at the operator's socket is answered, and too much of it ends that connection alone") {
+    Daemon d;
+    CHECK(d.ask(nlohmann::json::array()).contains("error"));
+    CHECK(d.ask({{"do", "dance"}}).at("error") == "'dance' is not known here");
+    CHECK(d.ask({{"do", 7}}).contains("error"));
+    const Daemon::Local flood(d.program.door());
+    const std::string much(200'000, 'x');
+    (void)!send(flood.fd, much.data(), much.size(), MSG_NOSIGNAL);
+    CHECK(d.ask({{"do", "status"}}).at("state") == "serving");
+    std::vector<std::unique_ptr<Daemon::Local>> crowd;
+    for (int i = 0; i < 20; ++i) crowd.push_back(std::make_unique<Daemon::Local>(d.program.door()));
+    crowd.clear();
+    CHECK(soon([&] { return d.ask({{"do", "status"}}).is_object(); }));
+}
+
+TEST_CASE("a second signal ends it at once and says by verb what is left") {
+    Daemon d;
+    Socket client = d.client();
+    client.say(set("bill", "c=pay,t=north,d=900"));
+    Socket origin = d.origin.accept();
+    origin.head();
+    d.program.signal(SIGTERM);
+    CHECK(soon([&] { return d.program.log().find("was told to stop") != std::string::npos; }));
+    d.program.signal(SIGTERM);
+    CHECK(d.program.exitCode() == 0);
+    CHECK(d.program.log().find("1 pay unanswered") != std::string::npos);
+}
+
+TEST_CASE("what it believes of its caches is shown, and logs come as JSON with a level by part") {
+    Daemon d;
+    Socket client = d.client();
+    client.say(get("plum"));
+    Socket cache = d.cache.accept();
+    cache.command();
+    const auto out = d.ask({{"do", "caches"}}).at("caches").at(0);
+    CHECK(out.at("name") == "c0");
+    CHECK(out.at("out") == 1);
+    cache.say(hit("V"));
+    CHECK(client.answer() == "V");
+    CHECK(d.ask({{"do", "caches"}}).at("caches").at(0).at("hints") == 1);
+    d.program.operate(kAdmin + "[log]\nform = \"json\"\nlevel = \"info\"\n[log.parts]\ndiscovery = \"off\"\n");
+    d.ask({{"do", "reload"}});
+    d.ask({{"do", "reload"}});
+    const std::string log = d.program.log();
+    const std::string last = log.substr(log.rfind('\n', log.size() - 2) + 1);
+    CHECK(nlohmann::json::parse(last).at("part") == "life");
+}
