A window is cut when the slow median lies well over the idle time, not at a fixed part

Line at fault: the slow median had to lie over four fifths of the limit before a window is cut. Where caches are slow when idle that median stands at half of the limit and this keeps windows open; where they are quick the limit is at its floor and it only lets a queue grow. Change: between three and four fifths of the limit, at one and a half of the idle time (Window::learn). A story with quick caches that begin to queue fails without it.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -171,8 +171,9 @@
         idle = std::min(idle * 1.0002, usual);
         // At the origin all queue together: few bear more, or who knows of a longer idle time starves them.
         const double wanted = std::clamp(2 * idle, least, kLatenessMost) + shared / std::max(size, 0.5);
-        // Both medians: the quick one alone wanders over the line where hits and misses mix.
-        if (lateness > wanted && usual > 0.8 * wanted)
+        // Both medians: the quick one alone wanders over the line where hits and misses mix. The slow one
+        // stands at half of the line where caches are slow when idle, and far under it where they are quick.
+        if (lateness > wanted && usual > std::clamp(1.5 * idle, 0.6 * wanted, 0.8 * wanted))
             cut(now, std::max(spent, static_cast<Nanos>(usual * static_cast<double>(goal))), 0.85);
         else if (out + 1 >= std::floor(size) * 0.75)
             size += std::min(cutAt == 0 ? 0.5 : 0.5 / std::max(size, 2.0), 0.2 * size);
--- a/tests/daemon_test.cpp
+++ b/tests/daemon_test.cpp
@@ -67,7 +67,8 @@
         // Null when the other side has gone. By single bytes, as a descriptor may follow.
         nlohmann::json line(int within = 3 * kSoon) const {
             std::string text;
-            for (char byte = 0; readable(fd, within) && recv(fd, &byte, 1, 0) == 1 && byte != '\n';) text += byte;
+            for (char byte = 0; readable(fd, within) && recv(fd, &byte, 1, 0) == 1 && byte != '\n';)
+                text += byte;
             return nlohmann::json::parse(text, nullptr, false);
         }
         int descriptor() const {
@@ -118,11 +119,13 @@
         "[instance]\nlisten = \"nowhere\"\n[log]\nlevel = \"loud\"\nshape = 1\n[[verbs]]\nname = \"read\"\n"
         "effect = \"pure\"\ngoal_ms = 500\nlimit_ms = 100\n[[servers]]\nname = \"c0\"\naddress = 7\n",
         false);
-    for (const char* line :
-         {"op.toml:1: instance.name: is missing", "op.toml:2: instance.listen: is not an IPv4 address and port",
-          "op.toml:4: log.level: 'loud' is none of debug, info, warning, error, off",
-          "op.toml:5: log.shape: is not a key that is known here", "op.toml:9: verbs[0].goal_ms: is not from 1 to limit_ms",
-          "op.toml:13: servers[0].address: is not a text", "servers: exactly one of them must have origin = true"})
+    for (const char* line : {"op.toml:1: instance.name: is missing",
+                             "op.toml:2: instance.listen: is not an IPv4 address and port",
+                             "op.toml:4: log.level: 'loud' is none of debug, info, warning, error, off",
+                             "op.toml:5: log.shape: is not a key that is known here",
+                             "op.toml:9: verbs[0].goal_ms: is not from 1 to limit_ms",
+                             "op.toml:13: servers[0].address: is not a text",
+                             "servers: exactly one of them must have origin = true"})
         CHECK_MESSAGE(text.find(line) != std::string::npos, line, "\n", text);
     // What the platform says may not be said twice.
     CHECK(problemsOf("[[verbs]]\nname = \"read\"\n", true) ==
@@ -258,9 +261,10 @@
     CHECK(d.ask({{"do", "status"}}).at("state") == "serving");
 }
 
-TEST_CASE("the operator's socket opens to its owner alone, and a crash leaves nothing that stops the next start") {
+TEST_CASE(
+    "the operator's socket opens to its owner alone, and a crash leaves nothing that stops the next start") {
     Daemon d;
-    struct stat at{};
+    struct stat at {};
     REQUIRE(stat(d.program.door().c_str(), &at) == 0);
     CHECK((at.st_mode & 0777) == 0600);
     d.program.signal(SIGKILL);
@@ -314,7 +318,8 @@
     cache.say(hit("V"));
     CHECK(client.answer() == "V");
     CHECK(d.ask({{"do", "caches"}}).at("caches").at(0).at("hints") == 1);
-    d.program.operate(kAdmin + "[log]\nform = \"json\"\nlevel = \"info\"\n[log.parts]\ndiscovery = \"off\"\n");
+    d.program.operate(kAdmin +
+                      "[log]\nform = \"json\"\nlevel = \"info\"\n[log.parts]\ndiscovery = \"off\"\n");
     d.ask({{"do", "reload"}});
     d.ask({{"do", "reload"}});
     const std::string log = d.program.log();
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -603,3 +603,19 @@
     w.router.ended(2 * ms, {1, 0, Ending::answered, true, ms});
     for (const Belief& b : w.router.beliefs(2 * ms)) CHECK(b.hints == (b.name == to ? 1 : 0));
 }
+
+TEST_CASE("quick caches that begin to queue are held back before the slow median reaches the line") {
+    World w(false, 1);
+    CommandId id = 0;
+    const auto serve = [&](int times, Nanos spent) {
+        for (int i = 0; i < times; ++i) {
+            w.now += 40 * ms;
+            w.ask(++id);
+            w.end(id, 0, Ending::answered, true, spent);
+        }
+        return w.router.beliefs(w.now).at(0).window;
+    };
+    const double idle = serve(40, 50 * ms);
+    CHECK(idle >= 4);
+    CHECK(serve(55, 250 * ms) < idle);
+}
