--- a/src/program/program.cpp
+++ b/src/program/program.cpp
@@ -337,7 +337,9 @@
     }
     upgrade_->heir = &session;
     session.gone = [this] {
-        if (upgrade_) upgradeEnds("the new process went before it was ready");
+        if (!upgrade_) return;
+        upgrade_->heir = nullptr;
+        upgradeEnds("the new process went before it was ready");
     };
     session.say({{"described", asTold_}});
     if (!session.pass(clients_->descriptor())) upgradeEnds("the listening socket could not be passed");
