poppyctl fleet: instances kept running, restarts and upgrades rolled through; upgrades in the lab

Need: many instances on one machine, started again when they die, and rolls that stop when they make things worse.

`poppyctl fleet FILE` carries it out and finds the instances that an earlier keeper left.

--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,56 +1,23 @@
 // poppyctl: speaks to a running instance through its operator's socket.
 #include <fmt/format.h>
-#include <sys/socket.h>
-#include <sys/time.h>
-#include <sys/un.h>
-#include <unistd.h>
 
 #include <CLI/CLI.hpp>
-#include <cerrno>
-#include <cstring>
-#include <iostream>
+#include <exception>
 #include <nlohmann/json.hpp>
-#include <stdexcept>
 #include <string>
 
+#include "ctl/fleet.hpp"
+#include "ctl/instance.hpp"
+
 namespace {
 
 using nlohmann::json;
 
-constexpr timeval kPatience{20, 0};  // an upgrade may take ten seconds until it is given up
+constexpr int kPatienceMs = 20'000;  // an upgrade may take ten seconds until it is given up
 constexpr int kRefused = 1;
 constexpr int kUsage = 2;
 constexpr int kUnreached = 3;
 
-struct Unreached : std::runtime_error {
-    using std::runtime_error::runtime_error;
-};
-
-json ask(const std::string& path, const json& what) {
-    sockaddr_un at{};
-    at.sun_family = AF_UNIX;
-    if (path.size() >= sizeof at.sun_path) throw Unreached("the socket's path is too long");
-    std::memcpy(at.sun_path, path.data(), path.size());
-    const int fd = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    ::setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &kPatience, sizeof kPatience);
-    const std::string line = what.dump() + "\n";
-    std::string said;
-    if (::connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0) {
-        const std::string problem = std::strerror(errno);
-        ::close(fd);
-        throw Unreached(fmt::format("no instance at {}: {}", path, problem));
-    }
-    if (::send(fd, line.data(), line.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(line.size())) {
-        char buffer[65536];
-        for (ssize_t got; !said.ends_with('\n') && (got = ::recv(fd, buffer, sizeof buffer, 0)) > 0;)
-            said.append(buffer, static_cast<std::size_t>(got));
-    }
-    ::close(fd);
-    const json answer = json::parse(said, nullptr, false);
-    if (!answer.is_object()) throw Unreached("the instance gave no whole answer");
-    return answer;
-}
-
 void showStatus(const json& s) {
     fmt::print("{} {} since {:.1f} s, process {}\n", s["name"].get<std::string>(),
                s["state"].get<std::string>(), s["up_ms"].get<double>() / 1e3, s["pid"].get<int>());
@@ -111,16 +78,20 @@
     app.add_subcommand("stop", "ends at once");
     app.add_subcommand("upgrade", "starts its program anew, which takes its sockets over")
         ->add_option("--program", program, "another program than the one it was started with");
+    auto* fleet = app.add_subcommand("fleet", "runs the instances of one description and keeps them running");
+    std::string description;
+    fleet->add_option("file", description, "the description")->required();
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& problem) {
         return app.exit(problem) == 0 ? 0 : kUsage;
     }
     try {
+        if (*fleet) return ::poppyscale::ctl::keepFleet(::poppyscale::ctl::readDescription(description));
         const std::string what = app.get_subcommands().front()->get_name();
         json asked{{"do", what}};
         if (!program.empty()) asked["program"] = program;
-        const json said = ask(path, asked);
+        const json said = poppyscale::ctl::ask(path, asked, kPatienceMs);
         if (plain) {
             fmt::print("{}\n", said.dump(2));
         } else if (said.contains("error")) {
@@ -141,6 +112,6 @@
         return said.contains("error") ? kRefused : 0;
     } catch (const std::exception& problem) {
         fmt::print(stderr, "poppyctl: {}\n", problem.what());
-        return kUnreached;
+        return *fleet ? kUsage : kUnreached;
     }
 }
--- a/src/lab/live.cpp
+++ b/src/lab/live.cpp
@@ -2,8 +2,10 @@
 
 #include <arpa/inet.h>
 #include <fmt/format.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
+#include <sys/un.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -209,6 +211,7 @@
     void start(int router) override;
     void terminate(int router) override { signalTo(router, SIGTERM); }
     void reload(int router) override;
+    void upgrade(int router) override;
 
     void routerReady(int router);
     void dropClient(int router, ClientLink* link);
@@ -235,6 +238,8 @@
     void openDiscovery(int door);
     void turn();
     void childrenEnded();
+    void hearOperators();
+    std::string doorOf(int router) const { return fmt::format("{}/r{}.sock", folder_, router); }
     void beginWorld();
     void end();
 
@@ -252,6 +257,12 @@
     std::vector<std::unique_ptr<transport::Listener>> discovery_;
     int discoveryDoor_ = 0;
     std::set<int> readyOnes_;
+    struct Asked {  // an operator's socket, until it has answered
+        int router;
+        int fd;
+        std::string said;
+    };
+    std::list<Asked> asked_;
     bool begun_ = false, ending_ = false;
     Ledger& ledger_;
     Nanos worstLate_ = 0, lateUntil_ = 0;
@@ -482,6 +493,8 @@
           failure_ = "a router did not answer PING in time";
           loop.stop();
       }) {
+    // Heirs of routers are ours when these have ended.
+    ::prctl(PR_SET_CHILD_SUBREAPER, 1);
     if (scenario.routers.count > 200) throw CannotRun("at most 200 routers on sockets");
     rlimit files{};
     getrlimit(RLIMIT_NOFILE, &files);
@@ -508,6 +521,7 @@
 
 Live::~Live() {
     for (auto& p : processes_) p.reset();
+    for (const Asked& one : asked_) ::close(one.fd);
     ready_.clear();
     clients.clear();
     serverLinks.clear();
@@ -660,6 +674,43 @@
     signalTo(router, SIGHUP);
 }
 
+void Live::upgrade(int router) {
+    sockaddr_un at{};
+    at.sun_family = AF_UNIX;
+    const std::string path = doorOf(router);
+    const int fd = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const std::string_view line = "{\"do\":\"upgrade\"}\n";
+    const bool fits = path.size() < sizeof at.sun_path;
+    if (fits) std::memcpy(at.sun_path, path.data(), path.size());
+    if (!fits || ::connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 ||
+        ::send(fd, line.data(), line.size(), MSG_NOSIGNAL) != static_cast<ssize_t>(line.size())) {
+        ++result_.upgradesFailed;
+        ::close(fd);
+        return;
+    }
+    asked_.push_back({router, fd, {}});
+}
+
+void Live::hearOperators() {
+    for (auto it = asked_.begin(); it != asked_.end();) {
+        char buffer[4096];
+        const ssize_t got = ::recv(it->fd, buffer, sizeof buffer, MSG_DONTWAIT);
+        if (got > 0) it->said.append(buffer, static_cast<std::size_t>(got));
+        const bool whole = it->said.ends_with('\n');
+        if (!whole && (got > 0 || (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)))) {
+            ++it;
+            continue;
+        }
+        const auto said = nlohmann::json::parse(it->said, nullptr, false);
+        const bool done = said.is_object() && said.contains("taken_over_by") && alive(it->router);
+        if (done)
+            processes_[static_cast<std::size_t>(it->router)]->becomes(said["taken_over_by"].get<pid_t>());
+        ++(done ? result_.upgrades : result_.upgradesFailed);
+        ::close(it->fd);
+        it = asked_.erase(it);
+    }
+}
+
 void Live::childrenEnded() {
     for (std::size_t r = 0; r < processes_.size(); ++r) {
         if (!processes_[r] || !processes_[r]->ended()) continue;
@@ -702,6 +753,7 @@
 }
 
 void Live::turn() {
+    hearOperators();
     const Nanos at = now();
     if (begun_ && !ending_ && !wanted_.serve) {
         worstLate_ =
--- a/src/lab/live.hpp
+++ b/src/lab/live.hpp
@@ -19,12 +19,15 @@
     double latePart = 0;    // of all tenths of a second: those in which the lab was over 20 ms late
     double cpuSeconds = 0;  // of all routers that lived to the end
     double memoryMb = 0;    // of the one with the most, at the end
+    int upgrades = 0;       // that were done
+    int upgradesFailed = 0;
     bool interrupted = false;
 };
 
 struct LiveWanted {
     std::string program = "build/poppyscale";
-    std::string folder;  // for configurations and the routers' own logs
+    bool operated = false;  // the program takes --operator, so that it can be asked to upgrade
+    std::string folder;     // for configurations and the routers' own logs
     // Without clients of its own, until interrupted: `poppylab serve`. Called once all routers are up.
     std::function<void(const std::string& firstRouter)> serve;
     std::function<void(Nanos)> progress;
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -43,6 +43,7 @@
     int routers = 0;
     std::string out;
     std::string program;
+    bool operated = false;
 };
 
 Scenario scenarioFor(const Wanted& wanted) {
@@ -82,10 +83,15 @@
         judge.follow(ledger);
         LiveWanted live;
         live.program = wanted.program;
+        live.operated = wanted.operated;
         if (!wanted.out.empty()) live.folder = wanted.out;
         live.progress = progressOf(s);
         result = playLive(s, wanted.seed, ledger, live);
     }
+    if (wanted.operated) {
+        judge.extra("upgrades", result.upgrades);
+        judge.extra("upgrades_failed", result.upgradesFailed);
+    }
     judge.extra("late_part", result.latePart);
     judge.extra("cpu_s", result.cpuSeconds);
     judge.extra("memory_mb", result.memoryMb);
@@ -187,7 +193,7 @@
         if (*comparing) {
             std::vector<Scenario> scenarios;
             for (const auto& file : files)
-                scenarios.push_back(scenarioFor({file, 1, wanted.seconds, wanted.routers, "", ""}));
+                scenarios.push_back(scenarioFor({file, 1, wanted.seconds, wanted.routers, "", "", false}));
             return compare(scenarios, pair) ? kKept : kBroken;
         }
         if (wanted.program.empty()) wanted.program = kRouter;
--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -52,13 +52,21 @@
         ::_exit(127);
     }
     ::setpgid(pid_, pid_);
+    group_ = pid_;
     if (out >= 0) ::close(out);
 }
 
 Process::~Process() {
     if (ended()) return;
-    ::kill(-pid_, SIGKILL);
-    ::waitpid(pid_, nullptr, 0);
+    ::kill(-group_, SIGKILL);
+    before_.push_back(pid_);
+    // An heir is ours to wait for once the one before it is gone.
+    for (const pid_t p : before_) ::waitpid(p, nullptr, 0);
+}
+
+void Process::becomes(pid_t heir) {
+    before_.push_back(pid_);
+    pid_ = heir;
 }
 
 void Process::signal(int number) const {
@@ -66,9 +74,10 @@
 }
 
 bool Process::ended() {
+    std::erase_if(before_, [](pid_t p) { return ::waitpid(p, nullptr, WNOHANG) == p; });
     if (!ended_ && ::waitpid(pid_, nullptr, WNOHANG) == pid_) {
         ended_ = true;
-        ::kill(-pid_, SIGKILL);  // what it may have left behind in its group
+        ::kill(-group_, SIGKILL);  // what it may have left behind in its group
     }
     return ended_;
 }
--- a/src/lab/process.hpp
+++ b/src/lab/process.hpp
@@ -19,6 +19,8 @@
     Process& operator=(const Process&) = delete;
 
     void signal(int number) const;
+    // Another process of its group goes on in its place: its own child, that will be ours when it has ended.
+    void becomes(pid_t heir);
     // Whether it has ended; asks the system once.
     bool ended();
     // CPU time that it has used so far, user and system, in seconds; 0 once it has ended.
@@ -28,6 +30,8 @@
 
   private:
     pid_t pid_ = -1;
+    pid_t group_ = -1;
+    std::vector<pid_t> before_;  // those that it has been, not yet seen to end
     bool ended_ = false;
 };
 
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -38,6 +38,7 @@
                                               {"load", FaultKind::load},
                                               {"router_kill", FaultKind::routerKill},
                                               {"router_restart", FaultKind::routerRestart},
+                                              {"router_upgrade", FaultKind::routerUpgrade},
                                               {"reload", FaultKind::reload}};
     return names;
 }
--- a/src/lab/scenario.hpp
+++ b/src/lab/scenario.hpp
@@ -130,6 +130,7 @@
     load,           // the load times `by`
     routerKill,     // SIGKILL to `count` routers, restarted
     routerRestart,  // SIGTERM to all, one after the other
+    routerUpgrade,  // each in turn hands its sockets to a new process
     reload          // SIGHUP to all
 };
 
--- a/src/lab/sim.cpp
+++ b/src/lab/sim.cpp
@@ -189,6 +189,7 @@
         }
     }
     void reload(int) override {}
+    void upgrade(int) override {}  // a hand-over is between processes
     void giveUp(int router, ConnId conn, CommandId id, int number) {
         if (SimRouter* const r = at(router)) r->giveUp(conn, id, number);
     }
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -845,6 +845,12 @@
                     });
                 });
             break;
+        case K::routerUpgrade:
+            for (int r = 0; r < scenario_.routers.count; ++r)
+                agenda_.put(now + fault.length * r / scenario_.routers.count, [this, r](Nanos) {
+                    if (routers_[nth(r)].up) driver_.upgrade(r);
+                });
+            break;
         case K::reload:
             for (int r = 0; r < scenario_.routers.count; ++r)
                 if (routers_[nth(r)].up) driver_.reload(r);
--- a/src/lab/world.hpp
+++ b/src/lab/world.hpp
@@ -84,6 +84,7 @@
     virtual void start(int router) = 0;
     virtual void terminate(int router) = 0;
     virtual void reload(int router) = 0;
+    virtual void upgrade(int router) = 0;
 };
 
 class World {
--- a/src/program/hand_over.cpp
+++ b/src/program/hand_over.cpp
@@ -105,6 +105,15 @@
     readLine();
 }
 
+void TakenOver::refuse(const std::string& why) noexcept {
+    try {
+        write({{"do", "refuse"}, {"why", why}});
+        readLine();
+    } catch (const std::exception&) {
+        // It goes on as before in any case.
+    }
+}
+
 Successor::Successor(const std::vector<std::string>& commandLine) {
     std::vector<std::string> held = commandLine;
     std::vector<char*> arguments;
--- a/src/program/hand_over.hpp
+++ b/src/program/hand_over.hpp
@@ -28,6 +28,8 @@
     const std::string& described() const { return described_; }
     // Tells it that all is up. When this returns it has stopped accepting; else it throws.
     void ready(const nlohmann::json& word);
+    // Tells it why nothing comes of this: by the time our own log had it we might be ended.
+    void refuse(const std::string& why) noexcept;
 
   private:
     nlohmann::json readLine();
--- a/src/program/program.cpp
+++ b/src/program/program.cpp
@@ -78,13 +78,13 @@
         if (!admin_) throw protocol::Malformed("to take over an operator's socket is needed: [admin] socket");
         taken_.emplace(told_.plan.admin);
         // An upgrade changes the program; another configuration would pass for a fault of the new one.
+        std::string against;
         if (taken_->described() != asTold_)
-            throw protocol::Malformed(
-                "can't take over: the process that serves has another configuration; reload it first");
-        if (!taken_->isAt(listen))
-            throw protocol::Malformed("can't take over: the process that serves listens elsewhere than " +
-                                      start.listen);
-        return;
+            against = "the process that serves has another configuration; reload it first";
+        if (!taken_->isAt(listen)) against = "the process that serves listens elsewhere than " + start.listen;
+        if (against.empty()) return;
+        taken_->refuse(against);
+        throw protocol::Malformed("can't take over: " + against);
     }
     const std::string problem = clients_->listen(listen);
     if (!problem.empty())
@@ -247,6 +247,10 @@
     if (what == "upgrade") return upgrade(session, asked);
     if (what == "take-over") return giveSockets(session);
     if (what == "ready") return successorReady(session, asked);
+    if (what == "refuse" && upgrade_ && upgrade_->heir == &session) {
+        upgradeEnds("the new process refuses: " + asked.value("why", ""));
+        return {{"ok", true}};
+    }
     return {{"error", fmt::format("'{}' is not known here", what.substr(0, 40))}};
 }
 
--- a/tests/daemon_test.cpp
+++ b/tests/daemon_test.cpp
@@ -246,9 +246,8 @@
     auto start = d.platform(smallStart());
     start["settings"]["allowed"]["maxOpen"] = 9;
     d.program.configure(start.dump());
-    CHECK(d.ask({{"do", "upgrade"}}).contains("error"));
+    CHECK(d.ask({{"do", "upgrade"}}).at("error").get<std::string>().find("reload it first") != std::string::npos);
     CHECK(serves());
-    CHECK(d.program.log().find("reload it first") != std::string::npos);
 }
 
 TEST_CASE("a successor that hangs is ended, and all goes on") {
@@ -326,3 +325,123 @@
     const std::string last = log.substr(log.rfind('\n', log.size() - 2) + 1);
     CHECK(nlohmann::json::parse(last).at("part") == "life");
 }
+
+namespace {
+
+// Three instances under a keeper of their own, on ports that follow each other.
+struct Kept {
+    Kept() {
+        char name[] = "/tmp/poppyscale-fleet-XXXXXX";
+        folder = mkdtemp(name);
+        firstPort = freePorts();
+        std::ofstream(folder + "/form.toml")
+            << "[admin]\nsocket = \"{socket}\"\n[instance]\nname = \"{name}\"\nlisten = \"{listen}\"\n" +
+                   kVerbs + "[[servers]]\nname = \"origin\"\norigin = true\naddress = \"" + origin.address() +
+                   "\"\n[[servers]]\nname = \"c0\"\naddress = \"" + cache.address() + "\"\n";
+        std::ofstream(folder + "/fleet.toml")
+            << "program = \"" POPPYSCALE_PROGRAM "\"\ncount = 3\nfolder = \"" + folder +
+                   "\"\nfirst_port = " + std::to_string(firstPort) + "\noperator = \"" + folder +
+                   "/form.toml\"\nwatch_ms = 100\npause_ms = 100\n";
+        start();
+    }
+    ~Kept() {
+        keeper(SIGTERM);
+        for (int i = 0; i < 3; ++i)
+            if (const pid_t left = pidOf(i)) kill(left, SIGKILL);
+        std::filesystem::remove_all(folder);
+    }
+    static int freePorts() {
+        for (int tries = 0;; ++tries) {
+            const Door first;
+            sockaddr_in one = loopback(static_cast<std::uint16_t>(first.port + 1));
+            sockaddr_in two = loopback(static_cast<std::uint16_t>(first.port + 2));
+            const int a = socket(AF_INET, SOCK_STREAM, 0), b = socket(AF_INET, SOCK_STREAM, 0);
+            const bool free = bind(a, reinterpret_cast<sockaddr*>(&one), sizeof one) == 0 &&
+                              bind(b, reinterpret_cast<sockaddr*>(&two), sizeof two) == 0;
+            close(a);
+            close(b);
+            if (free || tries > 50) return first.port;
+        }
+    }
+    void start() {
+        pid = fork();
+        if (pid > 0) return;
+        unsetenv("ROUTER_CONFIG");
+        if (!freopen((folder + "/keeper.log").c_str(), "a", stderr)) _exit(126);
+        execl(POPPYCTL, "poppyctl", "fleet", (folder + "/fleet.toml").c_str(), nullptr);
+        _exit(127);
+    }
+    int keeper(int signal) {
+        if (pid <= 0) return -1;
+        kill(pid, signal);
+        int status = 0;
+        waitpid(std::exchange(pid, -1), &status, 0);
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    }
+    nlohmann::json ask(int i) const {
+        const Daemon::Local door(folder + "/r" + std::to_string(i) + ".sock");
+        if (!door.open) return nullptr;
+        door.say({{"do", "status"}});
+        return door.line(2'000);
+    }
+    pid_t pidOf(int i) const {
+        const auto said = ask(i);
+        return said.is_object() ? said.value("pid", 0) : 0;
+    }
+    bool serving(int i) const {
+        const auto said = ask(i);
+        return said.is_object() && said.value("state", "") == "serving";
+    }
+    bool logged(const std::string& words) const {
+        std::ifstream file(folder + "/keeper.log");
+        return std::string{std::istreambuf_iterator<char>(file), {}}.find(words) != std::string::npos;
+    }
+    Door origin, cache;
+    std::string folder;
+    int firstPort = 0;
+    pid_t pid = -1;
+};
+
+}  // namespace
+
+TEST_CASE(
+    "a keeper starts what dies, finds what it left, rolls restarts and upgrades through, and stops all") {
+    Kept kept;
+    REQUIRE(soon([&] { return kept.serving(0) && kept.serving(1) && kept.serving(2); }));
+    const pid_t first = kept.pidOf(0);
+    kill(first, SIGKILL);
+    CHECK(soon([&] { return kept.serving(0) && kept.pidOf(0) != first; }));
+    CHECK(soon([&] { return kept.logged("instance 0 ended by itself"); }));
+    // The keeper is killed: its instances live on and are found again, none of them started twice.
+    const pid_t before[] = {kept.pidOf(0), kept.pidOf(1), kept.pidOf(2)};
+    kept.keeper(SIGKILL);
+    kept.start();
+    CHECK(soon([&] { return kept.logged("found r2 as process " + std::to_string(before[2])); }));
+    for (int i = 0; i < 3; ++i) CHECK(kept.pidOf(i) == before[i]);
+    usleep(200'000);
+    kill(kept.pid, SIGUSR2);
+    CHECK(soon([&] { return kept.logged("the roll went through"); }));
+    for (int i = 0; i < 3; ++i) CHECK(kept.pidOf(i) != before[i]);
+    // One that dies after its upgrade is seen to, though it was never the keeper's own child.
+    const pid_t heir = kept.pidOf(1);
+    kill(heir, SIGKILL);
+    CHECK(soon([&] { return kept.serving(1) && kept.pidOf(1) != heir; }));
+    const pid_t last[] = {kept.pidOf(0), kept.pidOf(1), kept.pidOf(2)};
+    CHECK(kept.keeper(SIGTERM) == 0);
+    for (const pid_t p : last) CHECK(kill(p, 0) != 0);
+}
+
+TEST_CASE("a fleet's description is read strictly") {
+    const Kept kept;
+    std::ofstream(kept.folder + "/bad.toml")
+        << "count = 3\nbatch = 3\nfolder = \"here\"\nfirst_port = 65535\n"
+           "program = \"/bin/true\"\noperator = \"/nowhere\"\nspeed = 1\n";
+    FILE* const pipe = popen((POPPYCTL " fleet " + kept.folder + "/bad.toml 2>&1").c_str(), "r");
+    std::string text(8'192, '\0');
+    text.resize(std::fread(text.data(), 1, text.size(), pipe));
+    CHECK(WEXITSTATUS(pclose(pipe)) == 2);
+    for (const char* line :
+         {":2: batch: is not less than count", ":3: folder: is not an absolute path",
+          ":4: first_port: leaves no port", ":6: operator: names a file", ":7: speed: is not a key"})
+        CHECK_MESSAGE(text.find(line) != std::string::npos, text);
+}
