--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 .PHONY: build test demo lint run install-packages clean
 
 build:
-	cmake -B build -DCMAKE_BUILD_TYPE=Release
+	cmake -B build -DCMAKE_BUILD_TYPE=Release -DPOPPYSCALE_LAB=ON
 	cmake --build build -j8
 
 demo: install-packages build
--- a/src/lab/live.cpp
+++ b/src/lab/live.cpp
@@ -636,7 +636,13 @@
     auto& process = processes_[static_cast<std::size_t>(router)];
     if (process || ending_) return;
     writeConfiguration(router);
-    process = std::make_unique<Process>(wanted_.program,
+    std::string program = wanted_.program;
+    if (wanted_.operated) {
+        const std::string file = fmt::format("{}/r{}.toml", folder_, router);
+        std::ofstream(file) << fmt::format("[admin]\nsocket = \"{}\"\n", doorOf(router));
+        program += " --operator " + file;
+    }
+    process = std::make_unique<Process>(program,
                                         std::vector<std::pair<std::string, std::string>>{
                                             {"ROUTER_CONFIG", fmt::format("{}/r{}.json", folder_, router)},
                                             {"ROUTER_NAME", fmt::format("r{}", router)},
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -135,6 +135,7 @@
     };
     auto* run = plays(app.add_subcommand("run", "plays a scenario round real routers, on loopback sockets"));
     run->add_option("--program", wanted.program, "the router's command line, build/poppyscale without it");
+    run->add_flag("--operated", wanted.operated, "the program takes --operator, so that it can be upgraded");
     auto* sim =
         plays(app.add_subcommand("sim", "plays a scenario round the decision module, in virtual time"));
     auto* proxy = app.add_subcommand("proxy", "a plain router to compare with, started as the router is");
--- a/tests/daemon_test.cpp
+++ b/tests/daemon_test.cpp
@@ -246,7 +246,8 @@
     auto start = d.platform(smallStart());
     start["settings"]["allowed"]["maxOpen"] = 9;
     d.program.configure(start.dump());
-    CHECK(d.ask({{"do", "upgrade"}}).at("error").get<std::string>().find("reload it first") != std::string::npos);
+    CHECK(d.ask({{"do", "upgrade"}}).at("error").get<std::string>().find("reload it first") !=
+          std::string::npos);
     CHECK(serves());
 }
 
