--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -570,6 +570,9 @@
 
 void World::change(Nanos now, int server, Presence presence, Nanos after) {
     agenda_.put(now + after, [this, server, presence](Nanos t) {
+        // It has come back before anyone noticed that it was gone.
+        const Host& host = *hosts_[nth(server)];
+        if (presence == Presence::gone && host.life == Life::up && !host.leaving) return;
         ListLine& line = lines_[nth(server)];
         line.presence = presence;
         line.startedAt = servers_[nth(server)].startedAt;
