--- a/src/operator/plan.cpp
+++ b/src/operator/plan.cpp
@@ -166,7 +166,7 @@
 }
 
 const std::vector<std::string>& logParts() {
-    static const std::vector<std::string> parts{"life", "decisions", "routing", "discovery", "admin"};
+    static const std::vector<std::string> parts{"life", "decisions", "discovery"};
     return parts;
 }
 
--- a/src/operator/plan.hpp
+++ b/src/operator/plan.hpp
@@ -18,7 +18,7 @@
 struct LogPlan {
     bool json = false;
     Level level = Level::info;
-    std::map<std::string, Level> parts;  // of routing, discovery, admin, life, decisions
+    std::map<std::string, Level> parts;  // of those in logParts()
     double perSecond = 10;
     bool operator==(const LogPlan&) const = default;
 };
