Sizes that move with load: a steady size keeps the order, the listed one tells of load

Change: `weigh()` keeps the largest size listed for a shape as the size of each of that shape; the listed size under it is the commands held a core. A candidate past twice the mean (at least two) yields by chance, since the word is late and the same for all routers. `weights` is read in `readTerms`; absent, all is as before.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -26,6 +26,7 @@
 constexpr std::size_t kMostCandidates = 3;
 constexpr double kYieldMargin = 2;
 constexpr double kYieldFloor = 2;
+constexpr double kAbsurd = 100;  // times the usual: no size or load that is meant
 
 constexpr Nanos kMemory = 5 * kSecond;        // over which this router's own state is weighed
 constexpr Nanos kCacheMemory = 15 * kSecond;  // and a cache's endings, of which a quiet router sees few
@@ -203,7 +204,10 @@
     std::int64_t cell = 0;
     Presence presence = Presence::gone;
     Nanos cameUp = 0;
-    double size = 1;
+    double size = 0;
+    std::string shape;
+    double listed = 0;  // where sizes move: as last listed
+    double held = 0;    // and what that says of its load: commands a core
     bool origin = false;
     bool wasGone = false;  // when the generations last changed
 
@@ -258,6 +262,7 @@
     bool beyondShare = false;
     bool atCold = false;  // its miss was at a cold cache
     double rank = 0;
+    double luck = 0;  // drawn once: what is asked again and again would else pass any chance in the end
     Nanos goalAt = 0;
     Nanos giveUpAt = 0;
     std::vector<Relay> relays;
@@ -424,6 +429,13 @@
         return coldBudgetLeft(c, now);
     }
 
+    // The listed word on load is late and the same at all routers, which would all swing together: past the
+    // limit a cache yields by chance, and keeps about the part of its commands that brings it back there.
+    bool listedBusy(const Command& cmd, const Cache& c) const {
+        const double limit = std::max(kYieldFloor, kYieldMargin * meanHeld);
+        return c.held > limit && cmd.luck > limit / c.held;
+    }
+
     // The mechanism: the hinted candidate, else rendezvous order, and one that is too busy yields.
     Cache* ordinary(Command& cmd, Nanos now) {
         const auto& candidates = candidatesFor(cmd, now);
@@ -439,7 +451,8 @@
                    std::max(kLatenessWanted, kYieldMargin * whole.usual);
         };
         const auto yields = [&](Cache& c) {
-            return c.window.out >= busy || (c.window.out > 0 && now - c.heardAt > silence) || late(c);
+            return c.window.out >= busy || (c.window.out > 0 && now - c.heardAt > silence) || late(c) ||
+                   listedBusy(cmd, c);
         };
         Cache* yielding = nullptr;
         for (const bool hinted : {true, false}) {
@@ -707,6 +720,7 @@
             return;
         }
         if (kind != NewsKind::cached) askAfter = kSecond / 2;
+        bool moved = !terms.sizesMove || kind != NewsKind::changes;
         if (kind != NewsKind::changes)
             for (const auto& [name, c] : known) c->presence = Presence::gone;
         for (const Listed& e : entries) {
@@ -718,24 +732,60 @@
                 if (slot->origin) slot->window.least = slot->window.shared = kOriginLateness;
                 (slot->origin ? origins : fleet).push_back(slot.get());
                 if (e.cameUp > 0 && now - e.cameUp < terms.ramp) slot->window.size = 2;
+                moved = true;
             } else if (e.cameUp > slot->cameUp) {
                 // Departure: a cache restarted under its old id has lost what its hints say it holds.
                 slot->filter.wipe();
                 slot->window.size = std::min(slot->window.size, 2.0);
             }
+            moved = moved || e.presence != slot->presence || e.cameUp != slot->cameUp;
             slot->zone = e.zone;
+            slot->shape = e.shape;
             slot->cell = e.cell;
             if (e.cameUp != slot->cameUp) slot->dueAt = now;
             slot->presence = e.presence;
             slot->cameUp = e.cameUp;
-            slot->size = std::max(e.size, 1e-9);  // without a size it still has its place in the order
+            // Without a size it still has its place in the order.
+            (terms.sizesMove ? slot->listed : slot->size) = std::max(e.size, 1e-9);
         }
-        ++fleetState;
+        moved = (terms.sizesMove && weigh()) || moved;
+        fleetState += moved;
         // Judged times all routers: a thousand that open with a few relays each start the day in a jam.
         const double part = kOpening * static_cast<double>(fleet.size()) / terms.routers;
         if (whole.cutAt == 0) whole.size = std::max(part, whole.size);
     }
 
+    // A size that moves with load must not move the order, or keys leave the caches that hold them and all
+    // routers go where it was quiet a while ago. The largest that a shape was listed with stands for the size
+    // of each of that shape; what a cache is listed under it is the fleet's own word on its load.
+    bool weigh() {
+        bool moved = false;
+        std::unordered_map<std::string_view, std::vector<double>> shapes;
+        for (Cache* c : fleet)
+            if (c->presence == Presence::ready) shapes[c->shape].push_back(c->listed);
+        std::unordered_map<std::string_view, double> largest;
+        for (auto& [shape, sizes] : shapes) {
+            const auto middle = sizes.begin() + static_cast<std::ptrdiff_t>(sizes.size() / 2);
+            std::nth_element(sizes.begin(), middle, sizes.end());
+            // One absurd entry would make all the others of its shape look overrun.
+            for (const double size : sizes)
+                if (size <= kAbsurd * *middle) largest[shape] = std::max(largest[shape], size);
+        }
+        double sum = 0;
+        std::size_t ready = 0;
+        for (Cache* c : fleet) {
+            if (c->presence != Presence::ready) continue;
+            const double size = std::max(c->size, largest[c->shape]);
+            moved = moved || size > c->size;
+            c->size = size;
+            c->held = std::clamp(size / c->listed - 1, 0.0, kAbsurd);
+            sum += c->held;
+            ++ready;
+        }
+        meanHeld = sum / std::max<double>(static_cast<double>(ready), 1);
+        return moved;
+    }
+
     void arrival(Nanos now, const Arrival& a) {
         auto& made = commands[a.id];
         if (made) return;
@@ -754,6 +804,7 @@
         cmd.giveUpAt = a.giveUpAt;
         cmd.goalAt = now + cmd.verb->goal;
         cmd.beyondShare = beyondShare(cmd.usage.get(), now);
+        if (terms.sizesMove) cmd.luck = draw();
         waiting.push_back(&cmd);
     }
 
@@ -805,6 +856,7 @@
     std::uint64_t surveyed = 0;           // the fleet's state that these were worked out for
     Nanos surveyUntil = 0;
     double warmSize = 0;
+    double meanHeld = 0;  // over ready caches, by the list
     const Nanos fallSpan = std::max<Nanos>(terms.fallSpan, 1);
     Decaying warmDone{fallSpan};
     double warmPace = 0;  // relays in a span that a warm cache of size 1 answers this router
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -60,6 +60,7 @@
     int maxRelays = 1;
     Nanos maxComeBack = 0;
     Nanos askWithin = 0;
+    bool sizesMove = false;  // a listed size falls with what the cache holds: size / (1 + held a core)
     double startShare = 1;
     Nanos ramp = 0;
     double tipMultiple = 1;
--- a/src/protocol/terms.cpp
+++ b/src/protocol/terms.cpp
@@ -78,6 +78,12 @@
     terms.comeBackAllowed = paths.yes("allowed.retryAfter");
     if (terms.comeBackAllowed) terms.maxComeBack = paths.time("allowed.maxRetryAfterUs");
     terms.maxRelays = static_cast<int>(paths.whole("allowed.maxRelays", 1'000'000));
+    if (paths.has("weights")) {
+        const auto meaning = paths.text("weights");
+        if (meaning != "off" && meaning != "nominal" && meaning != "rough" && meaning != "live")
+            throw Malformed("setting weights has an unknown value");
+        terms.sizesMove = meaning == "live";
+    }
     terms.startShare = paths.real("rules.startCapacity");
     terms.ramp = paths.time("rules.rampTimeUs");
     terms.tipMultiple = paths.real("rules.tipMultiple");
