Popular keys start further down the rendezvous order, by their share of recent commands

Checks: one key of a few per cent of 3,000 commands a second is more than three caches can serve, and no router sees more than six commands a second, so nothing ever yields by relays in flight. Change: a router keeps the last 64 keys; a key that holds more than a cache's part of them starts at a place drawn from twice that many caches. Only where sizes move with load.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <functional>
 #include <limits>
 #include <random>
 #include <unordered_map>
@@ -26,6 +27,8 @@
 constexpr std::size_t kMostCandidates = 3;
 constexpr double kYieldMargin = 2;
 constexpr double kYieldFloor = 2;
+constexpr std::size_t kRecent = 64;
+constexpr double kBroad = 2;
 constexpr double kAbsurd = 100;  // times the usual: no size or load that is meant
 
 constexpr Nanos kMemory = 5 * kSecond;        // over which this router's own state is weighed
@@ -262,6 +265,7 @@
     bool beyondShare = false;
     bool atCold = false;  // its miss was at a cold cache
     double rank = 0;
+    std::size_t start = 0;  // its first candidate's place in the rendezvous order
     double luck = 0;  // drawn once: what is asked again and again would else pass any chance in the end
     Nanos goalAt = 0;
     Nanos giveUpAt = 0;
@@ -398,9 +402,24 @@
                 if (!b.second || entry.first > b.first) std::swap(b, entry);
         }
         for (std::size_t i = 0; i < best.size(); ++i) cmd.candidates[i] = best[i].second;
+        if (cmd.start > 0) goOn(cmd);
         return cmd.candidates;
     }
 
+    // A key that is asked for more than a cache can bear has its candidates further down the same order.
+    void goOn(Command& cmd) {
+        std::vector<std::pair<double, Cache*>> order;
+        for (const Ranked& r : ranked) {
+            const double u = (static_cast<double>(mix(cmd.key ^ r.hash) >> 11) + 0.5) * 0x1p-53;
+            order.emplace_back(std::log(u) / r.weight, r.cache);
+        }
+        const std::size_t needed = std::min(order.size(), cmd.start + kMostCandidates);
+        const auto last = order.begin() + static_cast<std::ptrdiff_t>(needed);
+        std::partial_sort(order.begin(), last, order.end(), std::greater<>());
+        for (std::size_t i = 0; i < kMostCandidates; ++i)
+            cmd.candidates[i] = needed ? order[(cmd.start + i) % needed].second : nullptr;
+    }
+
     // Routers that each keep to their part keep the sum: the warm pace is this router's part of what the
     // fleet answers (what it is sent is swollen in a jam). A part of less than one relay goes by chance: a
     // thousand routers that round it up to one each push a cold cache over in the second they hear of it.
@@ -804,7 +823,13 @@
         cmd.giveUpAt = a.giveUpAt;
         cmd.goalAt = now + cmd.verb->goal;
         cmd.beyondShare = beyondShare(cmd.usage.get(), now);
-        if (terms.sizesMove) cmd.luck = draw();
+        if (!terms.sizesMove) return;
+        cmd.luck = draw();
+        const auto of = static_cast<double>(std::count(recent.begin(), recent.end(), cmd.key));
+        const double caches = of / std::max<double>(recent.size(), kRecent / 2.0) * ranked.size() * kBroad;
+        if (caches > 1) cmd.start = static_cast<std::size_t>(caches * draw());
+        if (recent.size() < kRecent) recent.push_back(cmd.key);
+        else recent[recentAt++ % kRecent] = cmd.key;
         waiting.push_back(&cmd);
     }
 
@@ -856,6 +881,8 @@
     std::uint64_t surveyed = 0;           // the fleet's state that these were worked out for
     Nanos surveyUntil = 0;
     double warmSize = 0;
+    std::vector<std::uint64_t> recent;  // keys
+    std::size_t recentAt = 0;
     double meanHeld = 0;  // over ready caches, by the list
     const Nanos fallSpan = std::max<Nanos>(terms.fallSpan, 1);
     Decaying warmDone{fallSpan};
