A client's further try whose goal has passed is declined; no early time-outs under a listed load

Checks: recorded outcomes with their remark: hits and misses alike time out, misses stay at 15 to 20%, so the origin isn't the cause; a try is given up at 50 to 60% of the time limit, at or past the goal of every verb, and nothing stops the work. Change: a try marked as a further one with less patience than first tries have is cut short by the end of the client's time, which dates the first; if its goal has passed and a late answer has no utility, it is declined at once. `relayUntil` gives no early time-out where sizes tell load (nothing is cancelled, the work doubles). `ordinary` takes the least held candidate when all yield.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -263,6 +263,7 @@
     // A relay may have run, at a cache or at the origin: a further one there doubles work and needs credit.
     std::array<bool, 2> ranBefore{};
     bool beyondShare = false;
+    bool late = false;    // its goal had passed before this try came
     bool atCold = false;  // its miss was at a cold cache
     double rank = 0;
     std::size_t start = 0;  // its first candidate's place in the rendezvous order
@@ -292,6 +293,7 @@
     void readTerms() {
         verbs.clear();
         for (const Verb& v : terms.verbs) verbs.push_back(std::make_shared<const Verb>(v));
+        patience.clear();
         const auto before = std::exchange(usages, {});
         for (const Customer& c : terms.customers) {
             const auto same = [&](const auto& u) { return u->customer.name == c.name; };
@@ -348,6 +350,10 @@
         return n < 0.5 ? 0 : static_cast<Nanos>(answerTime.read(now) / n);
     }
 
+    // A router that meets a cache every half a minute earns nothing there: where sizes tell of load, a further
+    // relay is earned at all caches alike.
+    double& creditAt(Cache& c) { return terms.sizesMove ? credit : c.credit; }
+
     // The one test of what may still be done with a command; `to` is null for a decline. It guards against an
     // effect happening twice and against telling a client that a retry is harmless when it is not.
     bool legal(const Command& cmd, const Cache* to, Nanos now) const {
@@ -442,7 +448,7 @@
             !legal(cmd, &c, now) || (cmd.beyondShare && pressed))
             return false;
         // Below one by chance: of any cache a quiet router has few answers, and two a cache fed a storm.
-        if (cmd.ranBefore[c.origin] && c.credit < draw()) return false;
+        if (cmd.ranBefore[c.origin] && creditAt(c) < draw()) return false;
         for (const Relay& r : cmd.relays)
             if (cmd.failedBefore && r.to.get() == &c && !c.origin) return false;
         return coldBudgetLeft(c, now);
@@ -452,7 +458,7 @@
     // limit a cache yields by chance, and keeps about the part of its commands that brings it back there.
     bool listedBusy(const Command& cmd, const Cache& c) const {
         const double limit = std::max(kYieldFloor, kYieldMargin * meanHeld);
-        return c.held > limit && cmd.luck > limit / c.held;
+        return c.held > limit && cmd.luck > limit * limit / (c.held * c.held);
     }
 
     // The mechanism: the hinted candidate, else rendezvous order, and one that is too busy yields.
@@ -482,11 +488,11 @@
                 if (!fits && (!hinted || cmd.failedBefore || c->window.open(now, cmd.beyondShare))) continue;
                 // A hinted one that is only full is waited for: a miss elsewhere costs more than the wait.
                 if (!yields(*c)) return fits ? c : yielding;
-                if (fits && !yielding) yielding = c;
+                if (fits && (!yielding || (terms.sizesMove && c->held < yielding->held))) yielding = c;
             }
         }
         Cache* third = candidates[kCandidates];
-        const bool wanted = third && (!yielding || third->filter.holds(cmd.key));
+        const bool wanted = third && (!yielding || terms.sizesMove || third->filter.holds(cmd.key));
         return wanted && !yields(*third) && room(cmd, *third, now) ? third : yielding;
     }
 
@@ -523,7 +529,7 @@
     Nanos relayUntil(const Command& cmd, const Cache& to, Nanos now) {
         if (to.origin || cmd.verb->effect != Effect::pure || !cmd.relays.empty()) return cmd.giveUpAt;
         // Just started, nothing is known of what answers take: a guess would set slow machines aside at once.
-        if (whole.seen < kFewAnswers) return cmd.giveUpAt;
+        if (terms.sizesMove || whole.seen < kFewAnswers) return cmd.giveUpAt;
         // Long against what answers take, and early enough that another's is still worth something: when all
         // answers are slow no such moment exists, so that a slow fleet isn't asked everything twice.
         const Nanos usual = typical(now);
@@ -533,7 +539,7 @@
     }
 
     void send(Command& cmd, Cache& to, Nanos now) {
-        if (cmd.ranBefore[to.origin]) to.credit -= 1;
+        if (cmd.ranBefore[to.origin]) creditAt(to) -= 1;
         if (cmd.usage && cmd.relays.empty()) cmd.usage->sent.add(now, 1);
         if (to.origin && !cmd.write && cmd.keyed) fetches[cmd.key] = &cmd;
         if (to.origin) coldFetches += cmd.atCold;
@@ -605,7 +611,7 @@
 
     void learn(Cache& c, const Command& cmd, Ending ending, Nanos spent, Nanos now) {
         if (ending == Ending::answered) {
-            c.credit = std::min(c.credit + 0.2, 10.0);
+            creditAt(c) = std::min(creditAt(c) + 0.2, 10.0);
             answers.add(now, 1);
             answerTime.add(now, static_cast<double>(spent));
         }
@@ -682,7 +688,7 @@
         for (std::size_t i = 0; i < waiting.size(); ++i) {
             Command& cmd = *waiting[i];
             if (!cmd.closed) {
-                const Place at = place(cmd, now);
+                const Place at = cmd.late ? Place{} : place(cmd, now);
                 if (at.to) {
                     send(cmd, *at.to, now);
                     continue;
@@ -691,7 +697,7 @@
                 // What stands too far back to start by half of its time is told so now, not after the wait.
                 const bool inReach =
                     at.waitsForFetch || whole.cutAt == 0 || ++ahead * answerGap < (lastStart - now) / 2;
-                const bool roomMayCome = at.waitsForFetch || (!cmd.beyondShare && inReach);
+                const bool roomMayCome = !cmd.late && (at.waitsForFetch || (!cmd.beyondShare && inReach));
                 const bool spentAll = relaysLeft(cmd) <= 0;
                 const bool barred = cmd.failedBefore || spentAll || (!cmd.candidates[0] && origins.empty());
                 if (now < lastStart && roomMayCome && !barred) {
@@ -822,6 +828,12 @@
         cmd.write = a.write;
         cmd.giveUpAt = a.giveUpAt;
         cmd.goalAt = now + cmd.verb->goal;
+        // All of a client's tries share its time: one that is cut short by the end of it tells when the first came.
+        Nanos& whole = patience[cmd.verb.get()];
+        if (!a.again) whole = std::max(whole, a.giveUpAt - now);
+        if (a.again && cmd.verb->limit > 0 && a.giveUpAt - now < whole - 10 * kMillisecond)
+            cmd.goalAt = a.giveUpAt - cmd.verb->limit + cmd.verb->goal;
+        cmd.late = cmd.goalAt <= now && cmd.verb->lateUtility <= 0;
         cmd.beyondShare = beyondShare(cmd.usage.get(), now);
         if (!terms.sizesMove) return;
         cmd.luck = draw();
@@ -881,8 +893,10 @@
     std::uint64_t surveyed = 0;           // the fleet's state that these were worked out for
     Nanos surveyUntil = 0;
     double warmSize = 0;
+    std::unordered_map<const Verb*, Nanos> patience;  // of clients, at a first try
     std::vector<std::uint64_t> recent;  // keys
     std::size_t recentAt = 0;
+    double credit = kOpening;           // of all caches together
     double meanHeld = 0;  // over ready caches, by the list
     const Nanos fallSpan = std::max<Nanos>(terms.fallSpan, 1);
     Decaying warmDone{fallSpan};
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -38,6 +38,7 @@
     Group group = Group::all;  // where repeats of a receipted command are dropped
     Nanos remembered = 0;      // and for how long after the first relay that may have run
     Nanos goal = 0;
+    Nanos limit = 0;  // of a client, over all its tries; 0 if not known
     double utility = 1;
     double lateUtility = 0;  // the part of it that an answer after the goal still has
     bool operator==(const Verb&) const = default;
@@ -87,6 +88,7 @@
     std::string_view key;
     Nanos giveUpAt = 0;
     bool write = false;
+    bool again = false;  // a client's further try, as it says itself
 };
 
 struct RelayEnd {
--- a/src/protocol/terms.cpp
+++ b/src/protocol/terms.cpp
@@ -99,6 +99,7 @@
             verb.remembered = paths.time(at + "keyTtlUs");
         }
         verb.goal = paths.time(at + "responseGoalUs");
+        if (paths.has(at + "timeLimitUs")) verb.limit = paths.time(at + "timeLimitUs");
         verb.utility = paths.real(at + "utility");
         if (paths.has(at + "lateUtility")) verb.lateUtility = paths.real(at + "lateUtility");
         terms.verbs.push_back(std::move(verb));
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -160,7 +160,9 @@
     arrival.customer = accept.find("customer").value_or("");
     arrival.key = accept.find("affinity").value_or("");
     arrival.giveUpAt = accept.time("notAfterUs");
-    arrival.write = (accept.whole("bits", 0) & 4) != 0;
+    const auto bits = accept.whole("bits", 0);
+    arrival.again = (bits & 2) != 0;
+    arrival.write = (bits & 4) != 0;
     return arrival;
 }
 
