--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -835,6 +835,7 @@
             cmd.goalAt = a.giveUpAt - cmd.verb->limit + cmd.verb->goal;
         cmd.late = cmd.goalAt <= now && cmd.verb->lateUtility <= 0;
         cmd.beyondShare = beyondShare(cmd.usage.get(), now);
+        waiting.push_back(&cmd);
         if (!terms.sizesMove) return;
         cmd.luck = draw();
         const auto of = static_cast<double>(std::count(recent.begin(), recent.end(), cmd.key));
@@ -842,7 +843,6 @@
         if (caches > 1) cmd.start = static_cast<std::size_t>(caches * draw());
         if (recent.size() < kRecent) recent.push_back(cmd.key);
         else recent[recentAt++ % kRecent] = cmd.key;
-        waiting.push_back(&cmd);
     }
 
     void ended(Nanos now, const RelayEnd& end) {
