The origin behind fetching caches has a window of its own, cut by fetches that failed

Checks: recorded outcomes: the errors carry the remark of a miss (4,190 of 4,332 relays from second 35, in 34 to 57 ms), the failing caches' own carry none; every cache has them. So the fetch fails at a full origin, nothing new is kept, and every further relay or try is one more fetch. Ruled out: credit (earned over all caches: 0.33 -> 0.22), lines of `judge` (it set aside what the origin ailed). Change: `RelayEnd::found` tells kept or fetched; a fetch that failed cuts `behind`, a window over commands that no hint places, from what is out at that moment, and a successful one lets it grow; the command gets no further relay and the cache is not blamed. Without the remark it never acts; aside mode is untouched.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -179,10 +179,16 @@
         // stands at half of the line where caches are slow when idle, and far under it where they are quick.
         if (lateness > wanted && usual > std::clamp(1.5 * idle, 0.6 * wanted, 0.8 * wanted))
             cut(now, std::max(spent, static_cast<Nanos>(usual * static_cast<double>(goal))), 0.85);
-        else if (out + 1 >= std::floor(size) * 0.75)
-            size += std::min(cutAt == 0 ? 0.5 : 0.5 / std::max(size, 2.0), 0.2 * size);
-        // With many routers even one relay each is too much: a size under one is kept by waiting between.
-        nextAt = size < 1 ? now + static_cast<Nanos>(spent * (1 / size - 1)) : 0;
+        else
+            grow();
+        pace(now, spent);
+    }
+    // With many routers even one relay each is too much: a size under one is kept by waiting between.
+    void pace(Nanos now, Nanos spent) {
+        nextAt = size < 1 ? now + static_cast<Nanos>(static_cast<double>(spent) * (1 / size - 1)) : 0;
+    }
+    void grow() {
+        if (out + 1 >= std::floor(size) * 0.75) size += std::min(cutAt == 0 ? 0.5 : 0.5 / std::max(size, 2.0), 0.2 * size);
     }
 
     double least;       // lateness below which nothing is held to queue
@@ -236,6 +242,7 @@
     std::shared_ptr<Cache> to;
     Nanos sentAt;
     Standing standing;
+    bool mayFetch;
 };
 
 struct Ranked {
@@ -443,10 +450,29 @@
         return c.due >= 1;
     }
 
+    bool mayFetch(const Command& cmd, const Cache& c) const {
+        return !terms.aside && (cmd.write || !c.filter.holds(cmd.key));
+    }
+
+    // The origin behind caches that fetch: each tells how a read went, and a fetch that failed tells of it.
+    void learnFetch(const Command& cmd, const RelayEnd& end, Nanos now) {
+        if (end.found != Found::fetched) return;
+        if (end.ending == Ending::errored) {
+            if (behind.cutAt == 0) behind.size = std::max(1, behind.out);
+            behind.cut(now, typical(now), 0.7);
+        } else if (isDone(end.ending) && behind.cutAt != 0) {
+            behind.grow();
+        } else {
+            return;
+        }
+        behind.pace(now, cmd.verb->goal);
+    }
+
     bool room(const Command& cmd, Cache& c, Nanos now) {
         if (!c.window.open(now, cmd.beyondShare) || !(c.origin || whole.open(now, cmd.beyondShare)) ||
             !legal(cmd, &c, now) || (cmd.beyondShare && pressed))
             return false;
+        if (mayFetch(cmd, c) && !behind.open(now, cmd.beyondShare)) return false;
         // Below one by chance: of any cache a quiet router has few answers, and two a cache fed a storm.
         if (cmd.ranBefore[c.origin] && creditAt(c) < draw()) return false;
         for (const Relay& r : cmd.relays)
@@ -546,7 +572,8 @@
         if (terms.aside && cmd.write)
             for (Cache* c : fleet) c->filter.clear(cmd.key);
         host.relay(cmd.id, to.name, relayUntil(cmd, to, now));
-        cmd.relays.push_back({to.shared_from_this(), now, Standing::out});
+        cmd.relays.push_back({to.shared_from_this(), now, Standing::out, mayFetch(cmd, to)});
+        behind.out += cmd.relays.back().mayFetch;
         if (to.window.out++ == 0) to.heardAt = now;
         if (!to.origin) ++whole.out;
         to.due -= 1;
@@ -855,6 +882,8 @@
         relay.standing = end.ending >= Ending::noRoom ? Standing::neverRan : Standing::mayHaveRun;
         Cache& from = *relay.to;
         --from.window.out;
+        behind.out -= relay.mayFetch;
+        learnFetch(cmd, end, now);
         // Answers on a connection may come in order: what a heavy one lets go tells of it, not of a queue.
         const bool behindAnother = from.endedAt == now;
         from.endedAt = from.heardAt = now;
@@ -862,10 +891,12 @@
         if (from.origin) coldFetches -= cmd.atCold;
         if (end.ending == Ending::noneHere && warmth(from, now) < 1) cmd.atCold = true;
         if (!behindAnother) learnTime(from, cmd, end.ending, end.spent, now);
-        learn(from, cmd, end.ending, end.spent, now);
+        const bool fetchFailed = end.found == Found::fetched && end.ending == Ending::errored;
+        if (!fetchFailed) learn(from, cmd, end.ending, end.spent, now);
         registerEnd(cmd, from, end.ending);
         if (cmd.closed || end.over || end.ending == Ending::answered) return void(commands.erase(it));
         if (end.ending != Ending::noneHere) cmd.failedBefore = true;
+        cmd.late = cmd.late || fetchFailed;
         if (relay.standing == Standing::mayHaveRun) cmd.ranBefore[from.origin] = true;
         waiting.push_back(&cmd);
     }
@@ -897,6 +928,7 @@
     std::vector<std::uint64_t> recent;  // keys
     std::size_t recentAt = 0;
     double credit = kOpening;           // of all caches together
+    Window behind{kOriginLateness, 0, 1e9};  // over fetches of the caches themselves, once one has failed
     double meanHeld = 0;  // over ready caches, by the list
     const Nanos fallSpan = std::max<Nanos>(terms.fallSpan, 1);
     Decaying warmDone{fallSpan};
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -32,6 +32,9 @@
     noneHere
 };
 
+// What a cache that fetches for itself told of a read.
+enum class Found : std::uint8_t { untold, kept, fetched };
+
 struct Verb {
     std::string name;
     Effect effect = Effect::effectful;
@@ -97,6 +100,7 @@
     Ending ending = Ending::answered;
     bool over = false;  // the client has its final answer, by this or by something earlier
     Nanos spent = 0;
+    Found found = Found::untold;
 };
 
 // What a router believes of a server, to be looked at and nothing else.
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -175,6 +175,8 @@
     const auto trial = verdict.whole("trial", 0);
     if (trial < 0 || trial > 1'000'000) throw Malformed("VERDICT has a field out of range: trial");
     end.relay = static_cast<int>(trial);
+    const auto remark = verdict.whole("remark", 0);
+    end.found = remark == 1 ? Found::kept : remark == 2 || remark == 3 ? Found::fetched : Found::untold;
     end.over = verdict.whole("over", 0) != 0;
     end.spent = verdict.toNanos(verdict.whole("spentUs", 0), "spentUs");
     return end;
