The yield's limit follows the verb's goal, the listed load is smoothed; settings reach the program

Change in the program: what the module reads now comes from its configuration too: the meaning of weights (the platform's `weights`; `[caches] weights` and `mode` in the operator's file), a verb's limit, the client's mark of a further try (`r=1`), and how a read went in a cache's answer. In a list a weight out of range counts as not told, in a file it is an error that names the server.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -482,8 +482,9 @@
 
     // The listed word on load is late and the same at all routers, which would all swing together: past the
     // limit a cache yields by chance, and keeps about the part of its commands that brings it back there.
-    bool listedBusy(const Command& cmd, const Cache& c) const {
-        const double limit = std::max(kYieldFloor, kYieldMargin * meanHeld);
+    bool listedBusy(const Command& cmd, const Cache& c, Nanos now) {
+        const double usual = std::max<double>(typical(now), kMillisecond) / (1 + meanHeld);
+        const double limit = std::max(kLatenessWanted * cmd.verb->goal / usual, meanHeld);
         return c.held > limit && cmd.luck > limit * limit / (c.held * c.held);
     }
 
@@ -503,7 +504,7 @@
         };
         const auto yields = [&](Cache& c) {
             return c.window.out >= busy || (c.window.out > 0 && now - c.heardAt > silence) || late(c) ||
-                   listedBusy(cmd, c);
+                   listedBusy(cmd, c, now);
         };
         Cache* yielding = nullptr;
         for (const bool hinted : {true, false}) {
@@ -830,7 +831,7 @@
             const double size = std::max(c->size, largest[c->shape]);
             moved = moved || size > c->size;
             c->size = size;
-            c->held = std::clamp(size / c->listed - 1, 0.0, kAbsurd);
+            c->held += 0.5 * (std::clamp(size / c->listed - 1, 0.0, kAbsurd) - c->held);
             sum += c->held;
             ++ready;
         }
--- a/src/operator/plan.cpp
+++ b/src/operator/plan.cpp
@@ -58,6 +58,7 @@
     verb.utility = t.real("utility", 1.0);
     verb.lateUtility = t.part("late_utility", 0.0);
     const Nanos limit = t.millis("limit_ms", std::nullopt);
+    verb.limit = limit;
     if (verb.goal < kMillisecond || limit < verb.goal) t.problem("goal_ms", "is not from 1 to limit_ms");
     start.longestPatience = std::max(start.longestPatience, limit);
     for (const Verb& other : start.terms.verbs)
@@ -83,8 +84,6 @@
 
 void readDeployment(Table& t, protocol::Start& start) {
     Terms& terms = start.terms;
-    terms.aside = true;
-    terms.originShape = "origin";
     t.one("instance", true, [&](Table& i) {
         start.name = i.text("name", std::nullopt);
         start.listen = address(i, "listen", std::nullopt);
@@ -106,6 +105,12 @@
         terms.comeBackAllowed = terms.maxComeBack > 0;
         terms.askWithin = l.millis("ask_within_ms", 10'000.0);
     });
+    t.one("caches", false, [&](Table& c) {
+        terms.aside = c.word<bool>("mode", {{"aside", true}, {"through", false}}, true);
+        if (terms.aside) terms.originShape = "origin";
+        terms.sizesMove = c.word<bool>(
+            "weights", {{"nominal", false}, {"rough", false}, {"off", false}, {"live", true}}, false);
+    });
     t.one("cold", false, [&](Table& c) {
         terms.startShare = c.real("share", 0.3, 0.001, 1);
         terms.ramp = c.millis("ramp_ms", 10'000.0);
@@ -125,15 +130,18 @@
     start.known.full = true;
     const auto origins = std::count_if(start.known.places.begin(), start.known.places.end(),
                                        [](const auto& p) { return p.listed.shape == "origin"; });
-    if (!discovered && origins != 1) t.problem("servers", "exactly one of them must have origin = true");
+    if (!discovered && terms.aside && origins != 1)
+        t.problem("servers", "exactly one of them must have origin = true");
+    if (!terms.aside && origins > 0)
+        t.problem("servers", "one has origin = true, but in mode 'through' the caches ask the origin");
 }
 
 std::string verbLine(const Verb& v) {
     static constexpr const char* effects[] = {"pure", "receipted", "effectful"};
     static constexpr const char* groups[] = {"all", "zone", "cell"};
     std::string line =
-        fmt::format("{} {} goal {} ms utility {} late {}", v.name, effects[static_cast<int>(v.effect)],
-                    v.goal / kMillisecond, v.utility, v.lateUtility);
+        fmt::format("{} {} goal {} ms limit {} ms utility {} late {}", v.name, effects[static_cast<int>(v.effect)],
+                    v.goal / kMillisecond, v.limit / kMillisecond, v.utility, v.lateUtility);
     if (v.effect == Effect::receipted)
         line += fmt::format(" group {} remembered {} ms", groups[static_cast<int>(v.group)],
                             v.remembered / kMillisecond);
@@ -191,7 +199,7 @@
         });
     });
     t.one("drain", false, [&](Table& d) { plan.drainWithin = d.millis("within_ms", 0.0); });
-    const char* const deployment[] = {"instance", "limits", "cold", "verbs", "customers", "servers"};
+    const char* const deployment[] = {"instance", "limits", "caches", "cold", "verbs", "customers", "servers"};
     if (!platform) {
         readDeployment(t, plan.start.emplace());
     } else {
@@ -249,6 +257,7 @@
     waits("asking within, ms", a.askWithin / kMillisecond, b.askWithin / kMillisecond);
     waits("a cold cache's span, ms", a.fallSpan / kMillisecond, b.fallSpan / kMillisecond);
     waits("aside", a.aside, b.aside);
+    waits("weights move with load", a.sizesMove, b.sizesMove);
     waits("the origin's shape", a.originShape, b.originShape);
     waits("a list is asked for", a.listOnRequest, b.listOnRequest);
     return d;
@@ -272,6 +281,8 @@
     line("connect_ms", start.connectWithin / kMillisecond);
     line("come_back_ms", start.terms.comeBackAllowed ? start.terms.maxComeBack / kMillisecond : 0);
     line("ask_within_ms", start.terms.askWithin / kMillisecond);
+    line("caches.mode", start.terms.aside ? "aside" : "through");
+    line("caches.weights", start.terms.sizesMove ? "live" : "sizes");
     line("cold.share", start.terms.startShare);
     line("cold.ramp_ms", start.terms.ramp / kMillisecond);
     line("cold.tip", start.terms.tipMultiple);
--- a/src/protocol/command.cpp
+++ b/src/protocol/command.cpp
@@ -87,6 +87,7 @@
     eachItem(command.info, [&](std::string_view item, std::string_view text, std::string_view) {
         if (item == "c") command.verb = text;
         if (item == "t") command.customer = text;
+        if (item == "r") command.again = text == "1";
         if (item == "d") patience = parse<std::int64_t>(text).value_or(-1);
     });
     if (patience < 0 || command.verb.empty()) return wrong("the list must tell c and d, d in milliseconds");
@@ -133,7 +134,12 @@
     Value& first = answer.items[0];
     if (first.kind == Value::Kind::null) return {Ending::noneHere, {}, true};
     if (first.kind != Value::Kind::bulk) return {};
-    return {Ending::answered, std::move(first.text), true};
+    // A word that is none of these is passed over, and the answer counts as ever.
+    const std::string_view word = answer.items[1].text;
+    const Found found = word == "hit"                          ? Found::kept
+                        : word == "miss" || word == "pending" ? Found::fetched
+                                                               : Found::untold;
+    return {Ending::answered, std::move(first.text), true, found};
 }
 
 }  // namespace poppyscale::protocol
--- a/src/protocol/command.hpp
+++ b/src/protocol/command.hpp
@@ -20,6 +20,7 @@
     std::string customer;
     Nanos patience = 0;  // how long the client waits
     bool write = false;
+    bool again = false;  // a client's further try, where clients say so
 };
 
 // A word that asks nothing of the decisions, answered at once.
@@ -39,6 +40,7 @@
     Ending ending = Ending::errored;
     std::string value;
     bool inForm = false;  // else nothing that comes on that connection can be trusted any more
+    Found found = Found::untold;
 };
 Outcome readCacheAnswer(Value answer);
 
--- a/src/protocol/discovery.cpp
+++ b/src/protocol/discovery.cpp
@@ -25,7 +25,8 @@
     }
 }
 
-Place placeOf(const Json& entry) {
+// In the stream of lists an absurd weight costs that value alone; in a file it is an error.
+Place placeOf(const Json& entry, bool inFile) {
     Place place;
     Listed& listed = place.listed;
     listed.name = entry.at("id").get<std::string>();
@@ -39,9 +40,14 @@
     listed.zone = entry.value("zone", "");
     listed.shape = entry.value("kind", "");
     listed.cell = entry.value("cell", std::int64_t{0});
-    listed.size = entry.value("weight", 1.0);
-    if (!std::isfinite(listed.size) || listed.size < 0)
-        throw Malformed("an entry with a weight out of range");
+    const auto weight = entry.find("weight");
+    if (inFile && weight != entry.end() && !weight->is_number())
+        throw Malformed("an entry with a weight that is no number: " + listed.name);
+    listed.size = weight == entry.end() ? 1.0 : weight->is_number() ? weight->get<double>() : 0.0;
+    if (!std::isfinite(listed.size) || listed.size < 0) {
+        if (inFile) throw Malformed("an entry with a weight out of range: " + listed.name);
+        listed.size = 0;  // not told
+    }
     place.address = entry.value("addr", "");
     place.startedMs = entry.value("started_ms", std::int64_t{0});
     // Far past any clock; times ten to the sixth it must not overflow.
@@ -50,11 +56,11 @@
     return place;
 }
 
-Roster rosterOf(const Json& json) {
+Roster rosterOf(const Json& json, bool inFile) {
     Roster roster;
     roster.version = json.at("version").get<std::int64_t>();
     roster.full = json.at("full").get<bool>();
-    for (const Json& entry : json.at("servers")) roster.places.push_back(placeOf(entry));
+    for (const Json& entry : json.at("servers")) roster.places.push_back(placeOf(entry, inFile));
     return roster;
 }
 
@@ -82,7 +88,7 @@
 }  // namespace
 
 Roster readRoster(std::string_view text) {
-    return reading(text, [](const Json& json) { return rosterOf(json); });
+    return reading(text, [](const Json& json) { return rosterOf(json, false); });
 }
 
 Start readStart(std::string_view text) {
@@ -101,7 +107,7 @@
             throw Malformed("limits are out of range: at least 16 MB and 64 sockets are needed");
         start.memory = static_cast<std::size_t>(megabytes * 1e6);
         start.descriptors = static_cast<std::size_t>(sockets);
-        if (json.contains("known")) start.known = rosterOf(json.at("known"));
+        if (json.contains("known")) start.known = rosterOf(json.at("known"), true);
         Paths paths;
         flatten(json.at("settings"), "", paths);
         start.terms = readTerms(paths, *seed);
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -145,7 +145,8 @@
 void Core::handOver(const Event& event) {
     if (const auto* arrived = std::get_if<Arrived>(&event.what)) {
         const Command& c = *arrived->command;
-        router_.arrival(event.at, {c.id, c.said.verb, c.said.customer, c.said.key, c.giveUpAt, c.said.write});
+        router_.arrival(event.at, {c.id, c.said.verb, c.said.customer, c.said.key, c.giveUpAt, c.said.write,
+                                   c.said.again});
     } else if (const auto* ended = std::get_if<Ended>(&event.what)) {
         RelayEnd end = ended->end;
         const auto it = commands_.find(end.id);
@@ -205,7 +206,7 @@
     // What this process was held up for is not the cache's time.
     const Nanos spent = std::max<Nanos>(loop_.arrivedBy() - relay.sentAt, 0);
     events_.push_back(
-        {transport::Loop::now(), Ended{{command.id, relay.number, outcome.ending, false, spent}}});
+        {transport::Loop::now(), Ended{{command.id, relay.number, outcome.ending, false, spent, outcome.found}}});
     command.out.reset();
     if (outcome.ending == Ending::answered)
         tell(command, {Final::Kind::answered, std::move(outcome.value), 0});
