A quiet router saves a cold cache's budget for twelve spans in place of one

Checks: `coldBudgetLeft` gives a router of six commands a second 0.07 relays a span for a cold cache, and one that comes by once in half a minute had saved up one span: it was let through in 7 of 100 visits, after the rendezvous had cut the visits by the same warmth.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -443,7 +443,7 @@
         if (warmSize > 0) warmPace = warmDone.read(now) / warmSize;
         // Half, since what is saved up comes on top within the same span.
         const double budget = 0.5 * terms.tipMultiple * w * warmPace * c.size;
-        const double since = std::min(1.0, static_cast<double>(now - c.dueAt) / fallSpan);
+        const double since = std::min(12.0, static_cast<double>(now - c.dueAt) / fallSpan);
         c.due = std::min(c.due + budget * since, std::max(1.0, budget));
         c.dueAt = now;
         if (c.due < 1) c.due = draw() < c.due ? 1 : 0;
