Parts of the module that serve no remaining site go: silence, moments, the greedy margin, shared credit

Through mode, the rule checks and the wire stay. The candidates of a popular key come from the same pass as all others.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <functional>
 #include <limits>
 #include <random>
 #include <unordered_map>
@@ -38,7 +37,6 @@
 constexpr double kOriginLateness = 0.25;  // for the origin, whose answer comes on top of a miss
 constexpr double kLatenessMost = 0.7;     // and no more than this, however slow a cache is when idle
 constexpr double kOpening = 6;            // relays for each cache that all routers together open with
-constexpr Nanos kLeastSilence = 20 * kMillisecond;  // shorter ones come with any few commands
 constexpr int kFewAnswers = 32;
 constexpr Nanos kShareMemory = 10 * kSecond;  // in less, a quiet router can't tell greed from chance
 
@@ -188,7 +186,8 @@
         nextAt = size < 1 ? now + static_cast<Nanos>(static_cast<double>(spent) * (1 / size - 1)) : 0;
     }
     void grow() {
-        if (out + 1 >= std::floor(size) * 0.75) size += std::min(cutAt == 0 ? 0.5 : 0.5 / std::max(size, 2.0), 0.2 * size);
+        if (out + 1 >= std::floor(size) * 0.75)
+            size += std::min(cutAt == 0 ? 0.5 : 0.5 / std::max(size, 2.0), 0.2 * size);
     }
 
     double least;       // lateness below which nothing is held to queue
@@ -230,7 +229,6 @@
     Nanos dueAt = 0;
     int timeOutsInRow = 0;
     Nanos endedAt = 0;     // when a relay last ended there
-    Nanos heardAt = 0;     // the same, or when the first was sent after none was out
     Nanos asideUntil = 0;  // set aside for its failures until then
 };
 
@@ -274,7 +272,7 @@
     bool atCold = false;  // its miss was at a cold cache
     double rank = 0;
     std::size_t start = 0;  // its first candidate's place in the rendezvous order
-    double luck = 0;  // drawn once: what is asked again and again would else pass any chance in the end
+    double luck = 0;        // drawn once: what is asked again and again would else pass any chance in the end
     Nanos goalAt = 0;
     Nanos giveUpAt = 0;
     std::vector<Relay> relays;
@@ -357,10 +355,6 @@
         return n < 0.5 ? 0 : static_cast<Nanos>(answerTime.read(now) / n);
     }
 
-    // A router that meets a cache every half a minute earns nothing there: where sizes tell of load, a further
-    // relay is earned at all caches alike.
-    double& creditAt(Cache& c) { return terms.sizesMove ? credit : c.credit; }
-
     // The one test of what may still be done with a command; `to` is null for a decline. It guards against an
     // effect happening twice and against telling a client that a retry is harmless when it is not.
     bool legal(const Command& cmd, const Cache* to, Nanos now) const {
@@ -405,34 +399,24 @@
         if (surveyed != fleetState) survey(now);
         if (cmd.candidatesOf == fleetState) return cmd.candidates;
         cmd.candidatesOf = fleetState;
-        std::array<std::pair<double, Cache*>, kMostCandidates> best{};
+        // As many as stand before the last of its candidates, and these.
+        std::vector<std::pair<double, Cache*>> best(std::min(cmd.start + kMostCandidates, ranked.size()));
         for (const Ranked& r : ranked) {
             const double u = (static_cast<double>(mix(cmd.key ^ r.hash) >> 11) + 0.5) * 0x1p-53;
             // Since -log(u) is at least 1 - u, most are known to score too little without the logarithm.
             if (r.weight <= best.back().first * (1 - u)) continue;
-            std::pair<double, Cache*> entry{r.weight / -std::log(u), r.cache};
-            for (auto& b : best)
-                if (!b.second || entry.first > b.first) std::swap(b, entry);
+            const std::pair<double, Cache*> entry{r.weight / -std::log(u), r.cache};
+            if (entry.first <= best.back().first) continue;
+            best.pop_back();
+            const auto after = [&](const auto& b) { return b.second && b.first >= entry.first; };
+            best.insert(std::find_if_not(best.begin(), best.end(), after), entry);
         }
-        for (std::size_t i = 0; i < best.size(); ++i) cmd.candidates[i] = best[i].second;
-        if (cmd.start > 0) goOn(cmd);
+        cmd.candidates = {};
+        for (std::size_t i = 0; i < std::min(best.size(), kMostCandidates); ++i)
+            cmd.candidates[i] = best[(cmd.start + i) % best.size()].second;
         return cmd.candidates;
     }
 
-    // A key that is asked for more than a cache can bear has its candidates further down the same order.
-    void goOn(Command& cmd) {
-        std::vector<std::pair<double, Cache*>> order;
-        for (const Ranked& r : ranked) {
-            const double u = (static_cast<double>(mix(cmd.key ^ r.hash) >> 11) + 0.5) * 0x1p-53;
-            order.emplace_back(std::log(u) / r.weight, r.cache);
-        }
-        const std::size_t needed = std::min(order.size(), cmd.start + kMostCandidates);
-        const auto last = order.begin() + static_cast<std::ptrdiff_t>(needed);
-        std::partial_sort(order.begin(), last, order.end(), std::greater<>());
-        for (std::size_t i = 0; i < kMostCandidates; ++i)
-            cmd.candidates[i] = needed ? order[(cmd.start + i) % needed].second : nullptr;
-    }
-
     // Routers that each keep to their part keep the sum: the warm pace is this router's part of what the
     // fleet answers (what it is sent is swollen in a jam). A part of less than one relay goes by chance: a
     // thousand routers that round it up to one each push a cold cache over in the second they hear of it.
@@ -474,7 +458,7 @@
             return false;
         if (mayFetch(cmd, c) && !behind.open(now, cmd.beyondShare)) return false;
         // Below one by chance: of any cache a quiet router has few answers, and two a cache fed a storm.
-        if (cmd.ranBefore[c.origin] && creditAt(c) < draw()) return false;
+        if (cmd.ranBefore[c.origin] && c.credit < draw()) return false;
         for (const Relay& r : cmd.relays)
             if (cmd.failedBefore && r.to.get() == &c && !c.origin) return false;
         return coldBudgetLeft(c, now);
@@ -493,8 +477,6 @@
         const auto& candidates = candidatesFor(cmd, now);
         const double mean = whole.out / std::max(1.0, static_cast<double>(ranked.size()));
         const double busy = std::max(kYieldFloor, kYieldMargin * mean);
-        // Silence yields too: behind a heavy command on a connection, or in a hang, the next would only wait.
-        const Nanos silence = std::max(3 * typical(now), kLeastSilence);
         // Of few relays hardly two are ever out at once, so a quiet router would never see a cache as busy.
         // What its few endings there took tells the same; one at the fleet's usual is assumed beside them,
         // and they are forgotten, so that it is tried again.
@@ -503,8 +485,7 @@
                    std::max(kLatenessWanted, kYieldMargin * whole.usual);
         };
         const auto yields = [&](Cache& c) {
-            return c.window.out >= busy || (c.window.out > 0 && now - c.heardAt > silence) || late(c) ||
-                   listedBusy(cmd, c, now);
+            return c.window.out >= busy || late(c) || listedBusy(cmd, c, now);
         };
         Cache* yielding = nullptr;
         for (const bool hinted : {true, false}) {
@@ -566,7 +547,7 @@
     }
 
     void send(Command& cmd, Cache& to, Nanos now) {
-        if (cmd.ranBefore[to.origin]) creditAt(to) -= 1;
+        if (cmd.ranBefore[to.origin]) to.credit -= 1;
         if (cmd.usage && cmd.relays.empty()) cmd.usage->sent.add(now, 1);
         if (to.origin && !cmd.write && cmd.keyed) fetches[cmd.key] = &cmd;
         if (to.origin) coldFetches += cmd.atCold;
@@ -575,7 +556,7 @@
         host.relay(cmd.id, to.name, relayUntil(cmd, to, now));
         cmd.relays.push_back({to.shared_from_this(), now, Standing::out, mayFetch(cmd, to)});
         behind.out += cmd.relays.back().mayFetch;
-        if (to.window.out++ == 0) to.heardAt = now;
+        ++to.window.out;
         if (!to.origin) ++whole.out;
         to.due -= 1;
     }
@@ -606,12 +587,9 @@
             std::nth_element(parts.begin(), middle, parts.end());
             return std::max(even, *middle) * usage->customer.quotaPerSecond;
         };
-        // Past chance, or small ones that keep to their share would be taken for greedy; who asks far more
-        // than the others gets no such margin while the caches are pressed.
-        const double asked = fair(&Usage::asked);
-        const bool greedy = usage->asked.read(now) > 1.5 * asked + 2 * std::sqrt(asked);
+        // Past chance, or small ones that keep to their share would be taken for greedy.
         const double sent = fair(&Usage::sent);
-        return usage->sent.read(now) > sent + (greedy && pressed ? 0 : std::max(std::sqrt(sent), sent / 3));
+        return usage->sent.read(now) > sent + std::max(std::sqrt(sent), sent / 3);
     }
 
     // Time-outs and misses too: in a jam hardly anything is answered, yet all that ends tells of the queue.
@@ -625,10 +603,8 @@
         c.lateness.add(now, late);
         heardAll.add(now, 1);
         latenessAll.add(now, late);
-        // What a pause lets go at once tells of one thing; at a busy cache about half still count.
-        const auto moment = static_cast<Nanos>(static_cast<double>(typical(now)) / (16 + c.window.size));
         // Sent with hardly any time left, a time-out proves nothing.
-        if (!timed || now - c.window.learntAt < moment || (!done && spent < cmd.verb->goal / 2)) return;
+        if (!timed || (!done && spent < cmd.verb->goal / 2)) return;
         c.window.learn(now, spent, cmd.verb->goal);
         // While most of what ends is answered, a second time-out in a row at a cache tells of that cache
         // alone: a hall that hangs must not close the window over all the others.
@@ -639,7 +615,7 @@
 
     void learn(Cache& c, const Command& cmd, Ending ending, Nanos spent, Nanos now) {
         if (ending == Ending::answered) {
-            creditAt(c) = std::min(creditAt(c) + 0.2, 10.0);
+            c.credit = std::min(c.credit + 0.2, 10.0);
             answers.add(now, 1);
             answerTime.add(now, static_cast<double>(spent));
         }
@@ -856,7 +832,8 @@
         cmd.write = a.write;
         cmd.giveUpAt = a.giveUpAt;
         cmd.goalAt = now + cmd.verb->goal;
-        // All of a client's tries share its time: one that is cut short by the end of it tells when the first came.
+        // All of a client's tries share its time: one that is cut short by the end of it tells when the first
+        // came.
         Nanos& whole = patience[cmd.verb.get()];
         if (!a.again) whole = std::max(whole, a.giveUpAt - now);
         if (a.again && cmd.verb->limit > 0 && a.giveUpAt - now < whole - 10 * kMillisecond)
@@ -869,8 +846,10 @@
         const auto of = static_cast<double>(std::count(recent.begin(), recent.end(), cmd.key));
         const double caches = of / std::max<double>(recent.size(), kRecent / 2.0) * ranked.size() * kBroad;
         if (caches > 1) cmd.start = static_cast<std::size_t>(caches * draw());
-        if (recent.size() < kRecent) recent.push_back(cmd.key);
-        else recent[recentAt++ % kRecent] = cmd.key;
+        if (recent.size() < kRecent)
+            recent.push_back(cmd.key);
+        else
+            recent[recentAt++ % kRecent] = cmd.key;
     }
 
     void ended(Nanos now, const RelayEnd& end) {
@@ -887,7 +866,7 @@
         learnFetch(cmd, end, now);
         // Answers on a connection may come in order: what a heavy one lets go tells of it, not of a queue.
         const bool behindAnother = from.endedAt == now;
-        from.endedAt = from.heardAt = now;
+        from.endedAt = now;
         if (!from.origin) --whole.out;
         if (from.origin) coldFetches -= cmd.atCold;
         if (end.ending == Ending::noneHere && warmth(from, now) < 1) cmd.atCold = true;
@@ -926,11 +905,10 @@
     Nanos surveyUntil = 0;
     double warmSize = 0;
     std::unordered_map<const Verb*, Nanos> patience;  // of clients, at a first try
-    std::vector<std::uint64_t> recent;  // keys
+    std::vector<std::uint64_t> recent;                // keys
     std::size_t recentAt = 0;
-    double credit = kOpening;           // of all caches together
     Window behind{kOriginLateness, 0, 1e9};  // over fetches of the caches themselves, once one has failed
-    double meanHeld = 0;  // over ready caches, by the list
+    double meanHeld = 0;                     // over ready caches, by the list
     const Nanos fallSpan = std::max<Nanos>(terms.fallSpan, 1);
     Decaying warmDone{fallSpan};
     double warmPace = 0;  // relays in a span that a warm cache of size 1 answers this router
--- a/src/operator/plan.cpp
+++ b/src/operator/plan.cpp
@@ -139,9 +139,9 @@
 std::string verbLine(const Verb& v) {
     static constexpr const char* effects[] = {"pure", "receipted", "effectful"};
     static constexpr const char* groups[] = {"all", "zone", "cell"};
-    std::string line =
-        fmt::format("{} {} goal {} ms limit {} ms utility {} late {}", v.name, effects[static_cast<int>(v.effect)],
-                    v.goal / kMillisecond, v.limit / kMillisecond, v.utility, v.lateUtility);
+    std::string line = fmt::format("{} {} goal {} ms limit {} ms utility {} late {}", v.name,
+                                   effects[static_cast<int>(v.effect)], v.goal / kMillisecond,
+                                   v.limit / kMillisecond, v.utility, v.lateUtility);
     if (v.effect == Effect::receipted)
         line += fmt::format(" group {} remembered {} ms", groups[static_cast<int>(v.group)],
                             v.remembered / kMillisecond);
@@ -199,7 +199,8 @@
         });
     });
     t.one("drain", false, [&](Table& d) { plan.drainWithin = d.millis("within_ms", 0.0); });
-    const char* const deployment[] = {"instance", "limits", "caches", "cold", "verbs", "customers", "servers"};
+    const char* const deployment[] = {"instance", "limits",    "caches", "cold",
+                                      "verbs",    "customers", "servers"};
     if (!platform) {
         readDeployment(t, plan.start.emplace());
     } else {
--- a/src/protocol/command.cpp
+++ b/src/protocol/command.cpp
@@ -136,9 +136,9 @@
     if (first.kind != Value::Kind::bulk) return {};
     // A word that is none of these is passed over, and the answer counts as ever.
     const std::string_view word = answer.items[1].text;
-    const Found found = word == "hit"                          ? Found::kept
+    const Found found = word == "hit"                         ? Found::kept
                         : word == "miss" || word == "pending" ? Found::fetched
-                                                               : Found::untold;
+                                                              : Found::untold;
     return {Ending::answered, std::move(first.text), true, found};
 }
 
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -205,8 +205,8 @@
     Command& command = *commands_.at(relay.command);
     // What this process was held up for is not the cache's time.
     const Nanos spent = std::max<Nanos>(loop_.arrivedBy() - relay.sentAt, 0);
-    events_.push_back(
-        {transport::Loop::now(), Ended{{command.id, relay.number, outcome.ending, false, spent, outcome.found}}});
+    events_.push_back({transport::Loop::now(),
+                       Ended{{command.id, relay.number, outcome.ending, false, spent, outcome.found}}});
     command.out.reset();
     if (outcome.ending == Ending::answered)
         tell(command, {Final::Kind::answered, std::move(outcome.value), 0});
