--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -572,8 +572,10 @@
         c.lateness.add(now, late);
         heardAll.add(now, 1);
         latenessAll.add(now, late);
+        // What a pause lets go at once tells of one thing; at a busy cache about half still count.
+        const auto moment = static_cast<Nanos>(static_cast<double>(typical(now)) / (16 + c.window.size));
         // Sent with hardly any time left, a time-out proves nothing.
-        if (!timed || (!done && spent < cmd.verb->goal / 2)) return;
+        if (!timed || now - c.window.learntAt < moment || (!done && spent < cmd.verb->goal / 2)) return;
         c.window.learn(now, spent, cmd.verb->goal);
         // A second time-out in a row tells of that cache alone, while most of what ends is answered.
         const bool hangs = c.timeOutsInRow > 1 && answers.read(now) > heardAll.read(now) / 2;
@@ -795,8 +797,8 @@
         Nanos& most = patience[cmd.verb.get()];
         if (!a.again) most = std::max(most, a.giveUpAt - now);
         if (a.again && cmd.verb->limit > 0 && a.giveUpAt - now < most - 10 * kMillisecond)
-            cmd.goalAt = a.giveUpAt - cmd.verb->limit + cmd.verb->goal;
-        cmd.pastGoal = cmd.goalAt <= now && cmd.verb->lateUtility <= 0;
+            cmd.goalAt = std::min(cmd.goalAt, a.giveUpAt - cmd.verb->limit + cmd.verb->goal);
+        cmd.pastGoal = a.again && cmd.goalAt <= now && cmd.verb->lateUtility <= 0;
         cmd.beyondShare = beyondShare(cmd.usage.get(), now);
         waiting.push_back(&cmd);
         if (!terms.sizesMove) return;
@@ -868,9 +870,7 @@
     Nanos startedAt, swapAt;
     Decaying heardAll{kMemory}, latenessAll{kMemory};
     bool pressed = false;  // what is beyond its share has to stay out
-    Nanos askAt = kNever;
-    Nanos askAfter = kSecond / 2;
-    Nanos wakeAt = 0;
+    Nanos askAt = kNever, askAfter = kSecond / 2, wakeAt = 0;
 };
 
 Router::Router(Terms terms, Host& host, Nanos now)
--- a/src/protocol/discovery.cpp
+++ b/src/protocol/discovery.cpp
@@ -108,8 +108,11 @@
         start.memory = static_cast<std::size_t>(megabytes * 1e6);
         start.descriptors = static_cast<std::size_t>(sockets);
         if (json.contains("known")) start.known = rosterOf(json.at("known"), true);
+        const Json& settings = json.at("settings");
+        if (settings.contains("weights") && !settings.at("weights").is_string())
+            throw Malformed("setting weights is not a word");
         Paths paths;
-        flatten(json.at("settings"), "", paths);
+        flatten(settings, "", paths);
         start.terms = readTerms(paths, *seed);
         // Nothing is pushed on sockets: a list that the simulator pushes would never be heard of.
         start.terms.listOnRequest = true;
