--- a/src/program/program.cpp
+++ b/src/program/program.cpp
@@ -156,6 +156,7 @@
     next.terms.askWithin = is.terms.askWithin;
     next.terms.fallSpan = is.terms.fallSpan;
     next.terms.aside = is.terms.aside;
+    next.terms.sizesMove = is.terms.sizesMove;
     next.terms.originShape = is.terms.originShape;
     next.terms.listOnRequest = is.terms.listOnRequest;
     // A command may still be open that waits longer than any verb that is left.
