--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -27,7 +27,6 @@
 constexpr double kYieldMargin = 2;
 constexpr double kYieldFloor = 2;
 constexpr std::size_t kRecent = 64;
-constexpr double kBroad = 2;
 constexpr double kSaved = 12;    // spans: a quiet router hardly ever comes by a cold cache within one
 constexpr double kAbsurd = 100;  // times the usual: no size or load that is meant
 
@@ -804,7 +803,7 @@
         if (!terms.sizesMove) return;
         cmd.luck = draw();
         const auto seen = static_cast<double>(std::count(recent.begin(), recent.end(), cmd.key));
-        const double caches = seen / kRecent * static_cast<double>(ranked.size()) * kBroad;
+        const double caches = seen / kRecent * static_cast<double>(ranked.size());
         if (caches > 1) cmd.start = static_cast<std::size_t>(caches * draw());
         recent[recentAt++ % kRecent] = cmd.key;
     }
