Patience of first tries is a running median; a size that isn't told keeps the last

Cause: read over: the longest patience ever seen dated further tries, and one odd client (an hour of patience on sockets) would have made every further try of its verb look late for good; a listed size out of range would have taken a steady cache out of the order until the next list.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -738,8 +738,9 @@
             if (e.cameUp != slot->cameUp) slot->dueAt = now;
             slot->presence = e.presence;
             slot->cameUp = e.cameUp;
-            // Without a size it still has its place in the order, or the load that it was last known for.
-            if (!terms.sizesMove) slot->size = std::max(e.size, 1e-9);
+            // Without a size it keeps the one, or the load, that it was last known for, or a place in the
+            // order.
+            if (!terms.sizesMove && (e.size > 0 || slot->size == 0)) slot->size = std::max(e.size, 1e-9);
             if (terms.sizesMove && e.size > 0) slot->listed = e.size;
         }
         fleetState += (terms.sizesMove && weigh()) || moved;
@@ -793,9 +794,10 @@
         cmd.giveUpAt = a.giveUpAt;
         cmd.goalAt = now + cmd.verb->goal;
         // All tries of a client share its time: one that is cut short by its end tells when the first came.
-        Nanos& most = patience[cmd.verb.get()];
-        if (!a.again) most = std::max(most, a.giveUpAt - now);
-        if (a.again && cmd.verb->limit > 0 && a.giveUpAt - now < most - 10 * kMillisecond)
+        const auto has = static_cast<double>(a.giveUpAt - now);
+        double& usual = patience[cmd.verb.get()];
+        if (!a.again) usual = usual == 0 ? has : usual * (has > usual ? 1.01 : 0.99);
+        if (a.again && cmd.verb->limit > 0 && has < 0.98 * usual)
             cmd.goalAt = std::min(cmd.goalAt, a.giveUpAt - cmd.verb->limit + cmd.verb->goal);
         cmd.pastGoal = a.again && cmd.goalAt <= now && cmd.verb->lateUtility <= 0;
         cmd.beyondShare = beyondShare(cmd.usage.get(), now);
@@ -857,8 +859,8 @@
     std::uint64_t surveyed = 0;           // the fleet's state that these were worked out for
     Nanos surveyUntil = 0;
     double warmSize = 0;
-    std::unordered_map<const Verb*, Nanos> patience;  // of clients, at a first try
-    std::array<std::uint64_t, kRecent> recent{};      // keys
+    std::unordered_map<const Verb*, double> patience;  // running median of first tries'
+    std::array<std::uint64_t, kRecent> recent{};       // keys
     std::size_t recentAt = 0;
     Window behind{kOriginLateness, 0, 1e9};  // over fetches of the caches themselves, once one has failed
     double meanHeld = 0;                     // over ready caches, by the list
