--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,6 +1,5 @@
-// All decisions of a router, behind `Router` in logic.hpp: report each event as it comes, then call settle()
-// once for the moment, the one place that turns the wanted state into relays, declines, terminations and
-// timers.
+// All decisions of a router: report each event as it comes, then call settle() once for the moment, the one
+// place that turns the wanted state into relays, declines, terminations and timers.
 #include "logic.hpp"
 
 #include <algorithm>
@@ -18,15 +17,13 @@
 constexpr Nanos kSecond = 1'000 * kMillisecond;
 constexpr Nanos kNever = std::numeric_limits<Nanos>::max();
 
-constexpr int kEntries = 4;                  // hint entries a key, of the source's 3 to 6
-constexpr std::size_t kCountersPerKey = 16;  // a quarter full at four entries: about 0.4% false hits
+constexpr int kEntries = 4;                   // hint entries a key, of the source's 3 to 6
+constexpr std::int64_t kCountersPerKey = 16;  // a quarter full at four entries: about 0.4% false hits
 constexpr std::size_t kLeastCounters = 1 << 8;
 constexpr std::size_t kMostCounters = 10 << 20;  // the source's largest hint space
 constexpr Nanos kGeneration = 10 * kSecond;
-constexpr std::size_t kCandidates = 2;
-constexpr std::size_t kMostCandidates = 3;
-constexpr double kYieldMargin = 2;
-constexpr double kYieldFloor = 2;
+constexpr std::size_t kCandidates = 2, kMostCandidates = 3;
+constexpr double kYieldMargin = 2, kYieldFloor = 2;
 constexpr std::size_t kRecent = 64;
 constexpr double kSaved = 12;    // spans: a quiet router hardly ever comes by a cold cache within one
 constexpr double kAbsurd = 100;  // times the usual: no size or load that is meant
@@ -39,6 +36,8 @@
 constexpr double kLatenessMost = 0.7;     // and no more than this, however slow a cache is when idle
 constexpr double kOpening = 6;            // relays for each cache that all routers together open with
 constexpr int kFewAnswers = 32;
+constexpr double kLeastAcross = 0.02, kCopyPrice = 0.01;  // of a zone's own copies, as a part of utility
+constexpr double kMixing = 4;  // times what more is lost in the own zone: from 1 on zones count no more
 constexpr Nanos kShareMemory = 10 * kSecond;  // in less, a quiet router can't tell greed from chance
 
 std::uint64_t mix(std::uint64_t x) {
@@ -86,9 +85,7 @@
     bool holds(std::uint64_t key) const {
         return each(key, [&](std::size_t at) { return counts[at] != 0; });
     }
-    bool full() const {
-        return keys * static_cast<std::int64_t>(kCountersPerKey) >= static_cast<std::int64_t>(counts.size());
-    }
+    bool full() const { return keys * kCountersPerKey >= std::ssize(counts); }
     void enter(std::uint64_t key) {
         each(key, [&](std::size_t at) { return counts[at] += counts[at] != 255, true; });
         ++keys;
@@ -146,8 +143,7 @@
     }
 
     void cut(Nanos now, Nanos spent, double factor) {
-        // Once a round trip: all that was out together tells of one and the same jam.
-        if (now - cutAt < spent) return;
+        if (now - cutAt < spent) return;  // all that was out together tells of one and the same jam
         size = std::max(0.05, size * factor);
         cutAt = now;
     }
@@ -157,11 +153,10 @@
         goal = std::max(goal, kMillisecond);
         spent = std::clamp<Nanos>(spent, 0, 4 * goal);
         const double part = static_cast<double>(spent) / static_cast<double>(goal);
-        // Steps towards the median: a few suddenly heavy commands would move a mean and cut windows where
-        // nothing queues, while a queue delays all that is answered.
+        // Steps towards the median: a few heavy commands would move a mean, a queue delays all that is
+        // answered.
         lateness = lateness == 0 ? part : std::max(0.01, lateness * (part > lateness ? 1.1 : 0.9));
-        // Only what lies well over the idle time of a slow machine is a queue. Read by slower steps, or its
-        // least would be far under what idle caches take, and longer ones where answers are few or the first.
+        // Slower, or its least would lie far under what idle caches take; less so where answers are few.
         const double apart = static_cast<double>(now - learntAt) / (2 * kSecond);
         const double step = std::max(std::clamp(apart, 0.02, 0.1), 1.0 / (2 + seen));
         learntAt = now;
@@ -189,9 +184,8 @@
     double least;       // lateness below which nothing is held to queue
     double shared = 0;  // what a window of one bears above that
     double size = 4;
-    double lateness = 0;  // running median of an answer's time as a part of its goal
-    double usual = 0;     // the same, slower
-    double idle = 1;      // the least the slower one has been, forgotten slower still
+    double lateness = 0, usual = 0;  // quick and slow running medians of an answer's part of its goal
+    double idle = 1;                 // the least the slower one has been, forgotten slower still
     int seen = 0, out = 0;
     Nanos cutAt = 0, nextAt = 0, learntAt = 0;
 };
@@ -206,10 +200,9 @@
     bool owed = false;                     // a first relay since its ban was lifted
     Filter filter;
     Window window{kLatenessWanted};
-    double credit = 0;                // further relays it may take; its answers earn them
-    Decaying heard{kCacheMemory};     // endings of all kinds
-    Decaying lateness{kCacheMemory};  // and their sum of parts of the goal
-    Decaying failures{kCacheMemory};
+    double credit = 0;  // further relays it may take; its answers earn them
+    // Endings of all kinds, their sum of parts of the goal, and those that failed.
+    Decaying heard{kCacheMemory}, lateness{kCacheMemory}, failures{kCacheMemory};
     double due = 0;  // while cold: relays it may be sent, worked out up to `dueAt`
     int timeOutsInRow = 0;
     Nanos dueAt = 0, endedAt = 0;  // when a relay last ended there
@@ -225,15 +218,19 @@
     std::shared_ptr<Cache> to;
     Nanos sentAt;
     Standing standing;
-    bool mayFetch;
 };
 
 struct Ranked {
     std::uint64_t hash;
-    double weight;
+    double plain, weight;  // the latter less across zones
     Cache* cache;
 };
 
+struct Side {  // caches of the own zone, or the others
+    double part(Nanos now) { return lost.read(now) / (asked.read(now) + 1); }
+    Decaying asked{kMemory}, lost{kMemory};
+};
+
 struct Usage {
     Customer customer;
     Decaying sent{kShareMemory};
@@ -248,8 +245,7 @@
     bool keyed = false, write = false, closed = false, failedBefore = false, beyondShare = false;
     // A relay may have run, at a cache or at the origin: a further one there doubles work and needs credit.
     std::array<bool, 2> ranBefore{};
-    bool pastGoal = false;  // before this try came, or it is of no use to go on
-    bool atCold = false;    // its miss was at a cold cache
+    bool pastGoal = false, atCold = false;  // it is of no use to go on; its miss was at a cold cache
     double rank = 0;
     std::size_t start = 0;  // its first candidate's place in the rendezvous order
     double luck = 0;        // drawn once: what is asked again and again would else pass any chance in the end
@@ -273,11 +269,11 @@
         askAt = terms.listOnRequest ? now + spread(width) : kNever;
     }
 
-    // Customers that were known keep what they have asked and been sent.
     void readTerms() {
         verbs.clear();
         for (const Verb& v : terms.verbs) verbs.push_back(std::make_shared<const Verb>(v));
         patience.clear();
+        across = leastAcross();
         const auto before = std::exchange(usages, {});
         for (const Customer& c : terms.customers) {
             const auto same = [&](const auto& u) { return u->customer.name == c.name; };
@@ -330,8 +326,7 @@
         return n < 0.5 ? 0 : static_cast<Nanos>(answerTime.read(now) / n);
     }
 
-    // The one test of what may still be done with a command; `to` is null for a decline. It guards against an
-    // effect happening twice and against telling a client that a retry is harmless when it is not.
+    // The one test of what may still be done with a command, lest an effect happen twice; null for a decline.
     bool legal(const Command& cmd, const Cache* to, Nanos now) const {
         if (cmd.closed) return false;
         const Relay* mayHaveRun = nullptr;
@@ -349,7 +344,6 @@
         return (in || group == Group::all) && now - mayHaveRun->sentAt < cmd.verb->remembered;
     }
 
-    // Once for each state of the fleet: at a hundred caches, once for each command cost most of all.
     void survey(Nanos now) {
         surveyed = fleetState;
         owed = nullptr;
@@ -357,14 +351,19 @@
         if (warmSize > 0) warmPace = warmDone.read(now) / warmSize;
         warmSize = 0;
         surveyUntil = kNever;
+        acrossSurveyed = across;
+        std::array<int, 2> ready{};
+        for (Cache* c : fleet) ready[near(*c)] += usable(*c) && c->asideUntil <= now;
+        zoned = terms.crossPrice > 0 && ready[true] > 0 && ready[false] > 0;
         for (Cache* c : fleet) {
             if (!usable(*c)) continue;
             if (c->owed) owed = c;
             const double w = warmth(*c, now);
             warmSize += w < 1 ? 0 : c->size;
             if (w < 1) surveyUntil = std::min(surveyUntil, now + std::max(terms.ramp / 32, kMillisecond));
-            if (c->asideUntil <= now)
-                ranked.push_back({c->hash, c->size * w, c});
+            if (c->asideUntil <= now)  // a cold one isn't preferred before it can bear its zone
+                ranked.push_back({c->hash, c->size * w,
+                                  c->size * w * (zoned ? std::pow(across, near(*c) ? 1 - w : 1) : 1), c});
             else
                 surveyUntil = std::min(surveyUntil, c->asideUntil);
         }
@@ -374,29 +373,56 @@
         if (surveyed != fleetState) survey(now);
         if (cmd.candidatesOf == fleetState) return cmd.candidates;
         cmd.candidatesOf = fleetState;
-        std::vector<std::pair<double, Cache*>> best(std::min(cmd.start + kMostCandidates, ranked.size()));
+        const auto best = topOf(cmd, cmd.start + kMostCandidates, &Ranked::weight);
+        cmd.candidates = {};
+        for (std::size_t i = 0; i < std::min(best.size(), kMostCandidates); ++i)
+            cmd.candidates[i] = best[(cmd.start + i) % best.size()].second;
+        // The last resort is the first over all zones: the caches that the routers there ask for the key.
+        const auto& [first, second, third] = cmd.candidates;
+        if (zoned && third)
+            for (const auto& [score, c] : topOf(cmd, kMostCandidates, &Ranked::plain))
+                if (c != first && c != second) return cmd.candidates[kCandidates] = c, cmd.candidates;
+        return cmd.candidates;
+    }
+
+    std::vector<std::pair<double, Cache*>> topOf(const Command& cmd, std::size_t n,
+                                                 double Ranked::*by) const {
+        std::vector<std::pair<double, Cache*>> best(std::min(n, ranked.size()));
         for (const Ranked& r : ranked) {
             const double u = (static_cast<double>(mix(cmd.key ^ r.hash) >> 11) + 0.5) * 0x1p-53;
             // Since -log(u) is at least 1 - u, most are known to score too little without the logarithm.
-            if (r.weight <= best.back().first * (1 - u)) continue;
-            const std::pair<double, Cache*> entry{r.weight / -std::log(u), r.cache};
+            if (r.*by <= best.back().first * (1 - u)) continue;
+            const std::pair<double, Cache*> entry{r.*by / -std::log(u), r.cache};
             if (entry.first <= best.back().first) continue;
             best.back() = entry;
             for (auto at = best.size() - 1; at > 0 && best[at - 1].first < best[at].first; --at)
                 std::swap(best[at - 1], best[at]);
         }
-        cmd.candidates = {};
-        for (std::size_t i = 0; i < std::min(best.size(), kMostCandidates); ++i)
-            cmd.candidates[i] = best[(cmd.start + i) % best.size()].second;
-        return cmd.candidates;
+        return best;
+    }
+
+    double leastAcross() const { return std::max(kLeastAcross, std::exp(-terms.crossPrice / kCopyPrice)); }
+    bool near(const Cache& c) const { return c.zone == terms.zone; }
+
+    // A zone that can't bear its traffic loses more of what was first sent there than what went across loses:
+    // past the price of crossing, zones count less and less. Few cross, so only what they lost counts.
+    void bore(Command& cmd, bool lost, Nanos now) {
+        if (terms.crossPrice <= 0 || (cmd.write && terms.aside) || cmd.beyondShare) return;
+        const Cache* to = cmd.relays.empty() ? candidatesFor(cmd, now)[0] : cmd.relays.front().to.get();
+        if (!to || to->origin) return;
+        auto& side = sides[near(*to)];
+        side.asked.add(now, 1);
+        side.lost.add(now, lost);
+        const double more = sides[true].part(now) - sides[false].part(now) - terms.crossPrice;
+        across = std::pow(leastAcross(), 1 - std::clamp(kMixing * more, 0.0, 1.0));
+        if (std::abs(across - acrossSurveyed) > 0.1 * acrossSurveyed) ++fleetState;
     }
 
-    // Routers that each keep to their part, as the warm pace tells it, keep the sum. A part of less than one
-    // relay goes by chance: a thousand routers that round it up to one push a cold cache over.
+    // Each router keeps to its part; one under a relay goes by chance: a thousand that round it up are a
+    // flood.
     bool coldBudgetLeft(Cache& c, Nanos now) {
         const double w = warmth(c, now);
         if (w >= 1) return true;
-        // With no warm cache left, what they last answered still tells what one of that size can.
         if (warmSize > 0) warmPace = warmDone.read(now) / warmSize;
         const double budget = 0.5 * terms.tipMultiple * w * warmPace * c.size;
         const double since = std::min(kSaved, static_cast<double>(now - c.dueAt) / fallSpan);
@@ -406,23 +432,9 @@
         return c.due >= 1;
     }
 
-    bool mayFetch(const Command& cmd, const Cache& c) const {
-        return !terms.aside && (cmd.write || !c.filter.holds(cmd.key));
-    }
-
-    // The origin behind caches that fetch: each tells how a read went, and a fetch that failed tells of it.
-    void learnFetch(const Command& cmd, const RelayEnd& end, Nanos now) {
-        const bool failed = end.ending == Ending::errored;
-        if (end.found != Found::fetched || (!failed && behind.cutAt == 0)) return;
-        if (behind.cutAt == 0) behind.size = std::max(1, behind.out);
-        failed ? behind.cut(now, typical(now), 0.7) : behind.grow();
-        behind.pace(now, cmd.verb->goal);
-    }
-
     bool room(const Command& cmd, Cache& c, Nanos now) {
         if (!c.window.open(now, cmd.beyondShare) || !(c.origin || whole.open(now, cmd.beyondShare)) ||
-            !legal(cmd, &c, now) || (cmd.beyondShare && pressed) ||
-            (mayFetch(cmd, c) && !behind.open(now, cmd.beyondShare)))
+            !legal(cmd, &c, now) || (cmd.beyondShare && pressed))
             return false;
         // Below one by chance: of any cache a quiet router has few answers, and two a cache fed a storm.
         if (cmd.ranBefore[c.origin] && c.credit < draw()) return false;
@@ -431,8 +443,7 @@
         return coldBudgetLeft(c, now);
     }
 
-    // The list's word on load is late and the same at all routers, which would swing together: past what uses
-    // up the wanted part of the goal, at what each held command adds to it, a cache yields by chance.
+    // The list's word on load is late and the same at all routers, which would swing together but for chance.
     bool listedBusy(const Command& cmd, const Cache& c, Nanos now) {
         const double each = static_cast<double>(std::max(typical(now), kMillisecond)) / (1 + meanHeld);
         const double limit = std::max(kLatenessWanted * static_cast<double>(cmd.verb->goal) / each, meanHeld);
@@ -441,13 +452,14 @@
 
     // The mechanism: the hinted candidate, else rendezvous order, and one that is too busy yields.
     Cache* ordinary(Command& cmd, Nanos now) {
-        const auto& candidates = candidatesFor(cmd, now);
+        auto candidates = candidatesFor(cmd, now);
+        if (zoned && cmd.failedBefore)
+            std::rotate(candidates.begin(), candidates.begin() + 2, candidates.end());
         // Of a lifted cache a quiet router would hear nothing for long: all its keys have their places.
         if (owed && cmd.verb->effect == Effect::pure && room(cmd, *owed, now)) return owed;
         const double mean = whole.out / std::max<double>(static_cast<double>(ranked.size()), 1);
         const double busy = std::max(kYieldFloor, kYieldMargin * mean);
-        // A quiet router hardly has two relays out, but what its few endings there took tells the same: one
-        // at the fleet's usual is assumed beside them, and they are forgotten, so that it is tried again.
+        // A quiet router hardly has two relays out, but what its few endings there took tells the same.
         const auto late = [&](Cache& c) {
             return (c.lateness.read(now) + whole.usual) / (c.heard.read(now) + 1) >
                    std::max(kLatenessWanted, kYieldMargin * whole.usual);
@@ -482,12 +494,10 @@
         for (Cache* c : origins)
             if (usable(*c) && (!best || c->window.out < best->window.out)) best = c;
         if (!best || !room(cmd, *best, now)) return nullptr;
-        // Misses at cold caches may not be what brings the origin down: a quarter of its window at most.
         if (cmd.atCold && coldFetches >= std::max(1, static_cast<int>(best->window.size / 4))) return nullptr;
         return best;
     }
 
-    // Where it goes, and whether it waits for a fetch.
     std::pair<Cache*, bool> place(Command& cmd, Nanos now) {
         if (cmd.pastGoal) return {nullptr, false};
         if (!terms.aside) return {ordinary(cmd, now), false};
@@ -503,7 +513,6 @@
         if (to.origin || cmd.verb->effect != Effect::pure || !cmd.relays.empty()) return cmd.giveUpAt;
         // Just started, nothing is known of what answers take: a guess would set slow machines aside at once.
         if (terms.sizesMove || whole.seen < kFewAnswers) return cmd.giveUpAt;
-        // Early enough for another's to be worth something, or a slow fleet would be asked everything twice.
         const Nanos usual = typical(now);
         const Nanos until = now + std::max(4 * usual, cmd.verb->goal / 2);
         const Nanos worthless = cmd.verb->lateUtility > 0 ? cmd.giveUpAt : std::min(cmd.goalAt, cmd.giveUpAt);
@@ -517,8 +526,7 @@
         if (terms.aside && cmd.write)
             for (Cache* c : fleet) c->filter.clear(cmd.key);
         host.relay(cmd.id, to.name, relayUntil(cmd, to, now));
-        cmd.relays.push_back({to.shared_from_this(), now, Standing::out, mayFetch(cmd, to)});
-        behind.out += cmd.relays.back().mayFetch;
+        cmd.relays.push_back({to.shared_from_this(), now, Standing::out});
         ++to.window.out;
         to.origin ? coldFetches += cmd.atCold : ++whole.out;
         to.due -= 1;
@@ -526,20 +534,17 @@
     }
 
     void finish(Command& cmd, Nanos now) {
-        if (legal(cmd, nullptr, now)) {
-            // Half of it by chance: clients told the same would come back as one wave.
-            const Nanos half = terms.maxComeBack / 2;
-            host.decline(cmd.id, terms.comeBackAllowed ? half + spread(half) : 0);
-        } else {
-            host.terminate(cmd.id);
-        }
+        // Half of it by chance: clients told the same would come back as one wave.
+        const Nanos half = terms.comeBackAllowed ? terms.maxComeBack / 2 : 0;
+        legal(cmd, nullptr, now) ? host.decline(cmd.id, half + spread(half)) : host.terminate(cmd.id);
         cmd.closed = true;
+        bore(cmd, true, now);
     }
 
     bool beyondShare(Usage* usage, Nanos now) {
         if (!usage || usage->customer.quotaPerSecond <= 0) return false;
-        // A router can't know its part of all traffic, and an even part would take each customer of a busy
-        // router for greedy: what the median customer is sent of its share stands for it.
+        // No router knows its part of all traffic: what the median customer is sent of its share stands for
+        // it.
         const double even = lifeOf(kShareMemory, now) / kSecond / terms.routers;
         std::vector<double> parts;
         for (const auto& u : usages)
@@ -564,7 +569,6 @@
         latenessAll.add(now, late);
         // What a pause lets go at once tells of one thing; at a busy cache about half still count.
         const auto moment = static_cast<Nanos>(static_cast<double>(typical(now)) / (16 + c.window.size));
-        // Sent with hardly any time left, a time-out proves nothing.
         if (!timed || now - c.window.learntAt < moment || (!done && spent < cmd.verb->goal / 2)) return;
         c.window.learn(now, spent, cmd.verb->goal);
         // A second time-out in a row tells of that cache alone, while most of what ends is answered.
@@ -587,7 +591,6 @@
         if (failed) judge(c, now);
     }
 
-    // Against the fleet's median, so that what ails all of them is held against none.
     void judge(Cache& c, Nanos now) {
         c.failures.add(now, 1);
         const double f = c.failures.read(now);
@@ -736,8 +739,7 @@
         if (whole.cutAt == 0) whole.size = std::max(part, whole.size);
     }
 
-    // A size that moves with load must not move the order, or keys leave the caches that hold them: the
-    // largest that a shape is listed with stands for it, and what is listed under that tells of the load.
+    // A size that moves with load must not move the order: the largest listed of a shape stands for it.
     bool weigh() {
         std::unordered_map<std::string_view, std::vector<Cache*>> shapes;
         for (Cache* c : fleet)
@@ -768,7 +770,6 @@
         ++fleetState;
         const auto it = known.find(name);
         if (on || it == known.end()) return;
-        // It was restarted while it was out, whether or not the list has told so yet.
         Cache& c = *it->second;
         c.filter.wipe();
         c.window = {kLatenessWanted, 0, 2, 0, 0, 1, 0, c.window.out};
@@ -822,8 +823,6 @@
         relay.standing = end.ending >= Ending::noRoom ? Standing::neverRan : Standing::mayHaveRun;
         Cache& from = *relay.to;
         --from.window.out;
-        behind.out -= relay.mayFetch;
-        learnFetch(cmd, end, now);
         // Answers on a connection may come in order: what a heavy one lets go tells of it, not of a queue.
         from.origin ? coldFetches -= cmd.atCold : --whole.out;
         if (end.ending == Ending::noneHere && warmth(from, now) < 1) cmd.atCold = true;
@@ -831,6 +830,7 @@
         const bool fetchFailed = end.found == Found::fetched && end.ending == Ending::errored;
         if (!fetchFailed) learn(from, cmd, end.ending, end.spent, now);
         registerEnd(cmd, from, end.ending);
+        if (end.ending == Ending::answered) bore(cmd, now > cmd.goalAt, now);
         if (cmd.closed || end.over || end.ending == Ending::answered) return void(commands.erase(it));
         if (end.ending != Ending::noneHere) cmd.failedBefore = true;
         cmd.pastGoal = cmd.pastGoal || fetchFailed;
@@ -861,11 +861,13 @@
     std::vector<Ranked> ranked;                  // those that may be candidates
     std::uint64_t fleetState = 1, surveyed = 0;  // and the one that these were worked out for
     Nanos surveyUntil = 0;
+    bool zoned = false;         // there are caches in the own zone and in others, and crossing has a price
+    std::array<Side, 2> sides;  // the own zone's second
+    double across = 1, acrossSurveyed = 1;             // a cache's weight in another zone
     std::unordered_map<const Verb*, double> patience;  // running median of first tries'
     std::array<std::uint64_t, kRecent> recent{};       // keys
     std::size_t recentAt = 0;
-    Window behind{kOriginLateness, 0, 1e9};  // over fetches of the caches themselves, once one has failed
-    double meanHeld = 0, warmSize = 0;       // over ready caches, by the list; and of the warm ones
+    double meanHeld = 0, warmSize = 0;  // over ready caches, by the list; and of the warm ones
     const Nanos fallSpan = std::max<Nanos>(terms.fallSpan, 1);
     Decaying warmDone{fallSpan};
     double warmPace = 0;  // relays in a span that a warm cache of size 1 answers this router
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -59,6 +59,8 @@
     int routers = 1;
     bool aside = false;       // a cache that lacks a key says so, and the router asks the origin
     std::string originShape;  // the machine shape that marks the origin in the list
+    std::string zone;         // this router's own
+    double crossPrice = 0;    // of a relay to another zone, as a part of a command's utility
     bool listOnRequest = false;
     bool comeBackAllowed = false;
     int maxRelays = 1;
--- a/src/operator/plan.cpp
+++ b/src/operator/plan.cpp
@@ -92,6 +92,7 @@
         start.memory = static_cast<std::size_t>(i.whole("memory_mb", 64, 16, 1'000'000)) * 1'000'000;
         start.descriptors = static_cast<std::size_t>(i.whole("descriptors", 1024, 64, 10'000'000));
         terms.routers = i.whole("routers", 1, 1, 1'000'000);
+        terms.zone = i.text("zone", "");
         const std::string seed = i.text("seed", "0");
         const auto number = protocol::parse<std::uint64_t>(seed, 16);
         if (!number) i.problem("seed", "is not a hexadecimal number");
@@ -102,6 +103,7 @@
         start.idle = l.millis("idle_ms", 15'000.0);
         start.connectWithin = l.millis("connect_ms", 500.0);
         terms.maxRelays = l.whole("relays", 3, 1, 100);
+        terms.crossPrice = l.part("cross_price", 0.0);
         terms.maxComeBack = l.millis("come_back_ms", 1'000.0);
         terms.comeBackAllowed = terms.maxComeBack > 0;
         terms.askWithin = l.millis("ask_within_ms", 10'000.0);
@@ -243,6 +245,8 @@
     live("discovery", is.discovery, wanted.discovery);
     live("routers", a.routers, b.routers);
     live("relays of a command", a.maxRelays, b.maxRelays);
+    live("own zone", a.zone, b.zone);
+    live("price of crossing zones", a.crossPrice, b.crossPrice);
     live("longest pause told, ms", a.maxComeBack / kMillisecond, b.maxComeBack / kMillisecond);
     live("pauses are told", a.comeBackAllowed, b.comeBackAllowed);
     live("a cold cache's share", a.startShare, b.startShare);
@@ -279,6 +283,8 @@
     line("memory_mb", start.memory / 1'000'000);
     line("descriptors", start.descriptors);
     line("routers", start.terms.routers);
+    line("zone", start.terms.zone.empty() ? "not told" : start.terms.zone);
+    line("cross_price", start.terms.crossPrice);
     line("open", start.mostOpen);
     line("relays", start.terms.maxRelays);
     line("idle_ms", start.idle / kMillisecond);
--- a/src/protocol/terms.cpp
+++ b/src/protocol/terms.cpp
@@ -73,6 +73,9 @@
         const auto shape = paths.whole("familyInfo.originKind", 1'000'000);
         terms.originShape = item(paths.text("shapes"), shape);
     }
+    if (paths.has("myZone")) terms.zone = paths.text("myZone");
+    if (paths.has("costs.crossZone")) terms.crossPrice = paths.real("costs.crossZone");
+    if (terms.crossPrice < 0) throw Malformed("setting costs.crossZone is negative");
     terms.listOnRequest = paths.text("membershipMode") == "on_request";
     if (terms.listOnRequest) terms.askWithin = paths.time("rules.askWithinUs");
     terms.comeBackAllowed = paths.yes("allowed.retryAfter");
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -20,6 +20,10 @@
 
 constexpr std::size_t kMostKnown = 1000;  // servers that are gone: their ids are ever new
 
+// Caches close an idle connection at the settings' time at the latest. A tenth of it is ample for what is
+// on its way; a router that sees a cache every ten seconds opens twice as many where it keeps half of it.
+Nanos keptFor(Nanos idle) { return idle - idle / 10; }
+
 std::size_t heldBy(const protocol::Command& said) {
     return kMemoryOfCommand + said.key.size() + said.id.size() + said.info.size() + said.value.size();
 }
@@ -30,9 +34,7 @@
            Log log)
     : loop_(loop),
       log_(std::move(log)),
-      // Caches close an idle connection at the settings' time at the latest: well before it none crosses
-      // that.
-      links_{loop, pool, *this, mostLinks, start.idle / 2, start.connectWithin, {}, start.memory / 16},
+      links_{loop, pool, *this, mostLinks, keptFor(start.idle), start.connectWithin, {}, start.memory / 16},
       mostOpen_(start.mostOpen),
       mostHeld_(start.memory / 8),
       clockLead_(leadOfClock()),
@@ -69,7 +71,7 @@
     verbs_.clear();
     for (const Verb& verb : start.terms.verbs) verbs_.insert(verb.name);
     mostOpen_ = start.mostOpen;
-    links_.keepIdle = start.idle / 2;
+    links_.keepIdle = keptFor(start.idle);
     links_.connectWithin = start.connectWithin;
     // In its place among the events: what came before it has arrived under the terms before.
     events_.push_back({transport::Loop::now(), Changed{start.terms}});
