--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -163,9 +163,7 @@
         usual = usual == 0 ? part : std::max(0.01, usual * (part > usual ? 1 + step : 1 - step));
         if (++seen == kFewAnswers) idle = usual;
         idle = std::min(idle * 1.0002, usual);
-        // At the origin all queue together: few bear more, or who knows of a longer idle time starves them.
         const double wanted = std::clamp(2 * idle, least, kLatenessMost) + shared / std::max(size, 0.5);
-        // Both medians: the quick one alone wanders over the line where hits and misses mix.
         if (lateness > wanted && usual > std::clamp(1.5 * idle, 0.6 * wanted, 0.8 * wanted))
             cut(now, std::max(spent, static_cast<Nanos>(usual * static_cast<double>(goal))), 0.85);
         else
@@ -352,9 +350,17 @@
         warmSize = 0;
         surveyUntil = kNever;
         acrossSurveyed = across;
-        std::array<int, 2> ready{};
-        for (Cache* c : fleet) ready[near(*c)] += usable(*c) && c->asideUntil <= now;
-        zoned = terms.crossPrice > 0 && ready[true] > 0 && ready[false] > 0;
+        std::unordered_map<std::string_view, double> zones;
+        double all = 0;
+        for (Cache* c : fleet)
+            if (usable(*c)) all += c->size * warmth(*c, now), zones[c->zone] += c->size * warmth(*c, now);
+        const double own = zones.contains(terms.zone) ? zones[terms.zone] : 0;
+        zoned = terms.crossPrice > 0 && own > 0 && own < all;
+        // Where traffic comes in is told nowhere: that of this router, and of the others evenly by zone.
+        const double traffic =
+            (1 + (terms.routers - 1.0) / std::max<std::size_t>(zones.size(), 1)) / terms.routers;
+        const double bears = std::min(1.0, own / all / traffic);
+        const double far = std::max(across, (1 - bears) / bears * own / (all - own));
         for (Cache* c : fleet) {
             if (!usable(*c)) continue;
             if (c->owed) owed = c;
@@ -363,7 +369,7 @@
             if (w < 1) surveyUntil = std::min(surveyUntil, now + std::max(terms.ramp / 32, kMillisecond));
             if (c->asideUntil <= now)  // a cold one isn't preferred before it can bear its zone
                 ranked.push_back({c->hash, c->size * w,
-                                  c->size * w * (zoned ? std::pow(across, near(*c) ? 1 - w : 1) : 1), c});
+                                  c->size * w * (zoned ? std::pow(far, near(*c) ? 1 - w : 1) : 1), c});
             else
                 surveyUntil = std::min(surveyUntil, c->asideUntil);
         }
@@ -436,7 +442,6 @@
         if (!c.window.open(now, cmd.beyondShare) || !(c.origin || whole.open(now, cmd.beyondShare)) ||
             !legal(cmd, &c, now) || (cmd.beyondShare && pressed))
             return false;
-        // Below one by chance: of any cache a quiet router has few answers, and two a cache fed a storm.
         if (cmd.ranBefore[c.origin] && c.credit < draw()) return false;
         for (const Relay& r : cmd.relays)
             if (cmd.failedBefore && r.to.get() == &c && !c.origin) return false;
@@ -567,13 +572,11 @@
         c.lateness.add(now, late);
         heardAll.add(now, 1);
         latenessAll.add(now, late);
-        // What a pause lets go at once tells of one thing; at a busy cache about half still count.
         const auto moment = static_cast<Nanos>(static_cast<double>(typical(now)) / (16 + c.window.size));
         if (!timed || now - c.window.learntAt < moment || (!done && spent < cmd.verb->goal / 2)) return;
         c.window.learn(now, spent, cmd.verb->goal);
         // A second time-out in a row tells of that cache alone, while most of what ends is answered.
         const bool hangs = c.timeOutsInRow > 1 && answers.read(now) > heardAll.read(now) / 2;
-        // Where many routers share many caches, one pair has too few answers to learn from in time.
         if (!c.origin && !hangs) whole.learn(now, spent, cmd.verb->goal);
     }
 
@@ -636,7 +639,6 @@
     void settle(Nanos now) {
         refresh(now);
         if (waiting.size() > 1) {
-            // What a cache holds takes half the time of a miss: in a jam a place answers twice as many.
             for (Command* cmd : waiting)
                 cmd->rank = cmd->verb->utility * (cmd->write || hintedSomewhere(*cmd, now) ? 2 : 1);
             std::stable_sort(waiting.begin(), waiting.end(), [](const Command* a, const Command* b) {
@@ -658,7 +660,6 @@
                     continue;
                 }
                 const Nanos lastStart = std::min(cmd.goalAt, cmd.giveUpAt) - typical(now);
-                // What stands too far back to start by half of its time is told so now, not after the wait.
                 const bool inReach = whole.cutAt == 0 || ++ahead * answerGap < (lastStart - now) / 2;
                 const bool roomMayCome = !cmd.pastGoal && (fetching || (!cmd.beyondShare && inReach));
                 const bool barred =
@@ -748,7 +749,6 @@
         double sum = 0, ready = 0;
         for (auto& [shape, caches] : shapes) {
             std::sort(caches.begin(), caches.end(), [](auto* a, auto* b) { return a->listed > b->listed; });
-            // An absurd value costs itself alone, and doesn't make all the others look overrun.
             const double most = kAbsurd * caches[caches.size() / 2]->listed;
             auto meant = caches.begin();
             while ((*meant)->listed > most) ++meant;
