--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -353,7 +353,8 @@
         std::unordered_map<std::string_view, double> zones;
         double all = 0;
         for (Cache* c : fleet)
-            if (usable(*c)) all += c->size * warmth(*c, now), zones[c->zone] += c->size * warmth(*c, now);
+            if (terms.crossPrice > 0 && usable(*c))
+                all += c->size * warmth(*c, now), zones[c->zone] += c->size * warmth(*c, now);
         const double own = zones.contains(terms.zone) ? zones[terms.zone] : 0;
         zoned = terms.crossPrice > 0 && own > 0 && own < all;
         // Where traffic comes in is told nowhere: that of this router, and of the others evenly by zone.
@@ -410,8 +411,7 @@
     double leastAcross() const { return std::max(kLeastAcross, std::exp(-terms.crossPrice / kCopyPrice)); }
     bool near(const Cache& c) const { return c.zone == terms.zone; }
 
-    // A zone that can't bear its traffic loses more of what was first sent there than what went across loses:
-    // past the price of crossing, zones count less and less. Few cross, so only what they lost counts.
+    // What is lost of the own zone's more than of what went across, past its price, makes zones count less.
     void bore(Command& cmd, bool lost, Nanos now) {
         if (terms.crossPrice <= 0 || (cmd.write && terms.aside) || cmd.beyondShare) return;
         const Cache* to = cmd.relays.empty() ? candidatesFor(cmd, now)[0] : cmd.relays.front().to.get();
