No attempt begins over 60 ms after its client's close: the look no longer depends on age

Cause: the operators' term allows no attempt to begin more than 0.1 s after its client's close. A request younger than 0.1 s went out without a look at its client (core.cpp, `kLookAgain` in `Core::awaited`), counted from a time of arrival that itself may be 40 ms late (`Loop::arrivedBy`: a poll of 20 ms and 10 ms each that don't count as held up), and that is no arrival at all for bytes that stood unread in the kernel. A process stopped for 101 to 112 ms, whose client sent a request and closed meanwhile, sent it on 103 to 115 ms after the close.

Change: `Client::isConnectionOpen` asks the kernel before an attempt unless the connection was known to be open within 20 ms (`kKnownOpenFor`), by an earlier look or by bytes that arrived while all before them had been read (`noteArrival`). The age of the request plays no part any more.

--- a/src/routing/clients.cpp
+++ b/src/routing/clients.cpp
@@ -25,8 +25,15 @@
 // For which a client may leave a long answer unread: it holds a cache's place.
 constexpr Nanos kUnread = 10'000 * kMillisecond;
 constexpr Nanos kLeastPace = 1'000'000'000 / (32 * 1024);  // for each byte
-// Who is not read ends unseen: looked at this often, where something of theirs is still to be sent on.
+// Who is not read ends unseen: looked at this often, where something of theirs is still to be sent on. This
+// frees what they hold; that no attempt begins for them is seen to by the look before each attempt.
 constexpr Nanos kLook = 50 * kMillisecond;
+// No attempt may begin more than 0.1 s after its client has closed the connection. An attempt begins without
+// a system call if the connection was known to be open within this time, else the kernel is asked first.
+// The time of arrival that counts as known to be open may itself be late by 40 ms: a poll of 20 ms, and 10 ms
+// of delay each in the poll and in the turn before it, which Loop::arrivedBy doesn't take for being held up.
+// An attempt thus begins 60 ms after the close at the latest.
+constexpr Nanos kKnownOpenFor = 20 * kMillisecond;
 // Longer ones than the first come in pieces: the last word of a write, up to 4 MiB.
 constexpr protocol::Decoder::Bounds kBounds{64 * 1024, 16, 1, 80 * 1024, true, 4 * 1024 * 1024, 4};
 
@@ -109,7 +116,7 @@
             client.flush();
         }
         bool present() override {
-            if (!client.connection_.left()) return true;
+            if (client.isConnectionOpen()) return true;
             command = nullptr;
             client.clients_.left_.push_back(&client);
             return false;
@@ -135,6 +142,21 @@
         bool waits = false;     // it has been told that there is no room
     };
 
+    // Asks the kernel, unless the connection was known to be open a moment ago.
+    bool isConnectionOpen() {
+        const Nanos now = transport::Loop::now();
+        if (now - knownOpenAt_ < kKnownOpenFor) return true;
+        if (connection_.left()) return false;
+        knownOpenAt_ = now;
+        return true;
+    }
+    // Bytes prove that the connection was open when they arrived. When that was is only known if everything
+    // before them had been read: else they, and the end behind them, may have stood in the kernel for long.
+    void noteArrival(std::size_t size, Nanos arrivedBy) {
+        if (caughtUp_) knownOpenAt_ = std::max(knownOpenAt_, arrivedBy);
+        caughtUp_ = size < transport::kBufferSize;
+    }
+
     void heard() {
         heardAt_ = transport::Loop::now();
         clients_.clients_.splice(clients_.clients_.end(), clients_.clients_, place);
@@ -152,6 +174,7 @@
         readInTurn_ += bytes.size();
         heard();
         const Nanos at = clients_.loop_.arrivedBy();
+        noteArrival(bytes.size(), at);
         parse(bytes, at);
     }
 
@@ -379,7 +402,9 @@
         // A part for each in a turn: whoever sends at full speed would else keep the others waiting.
         const bool rests = wanted && turn_ == clients_.turn_ && readInTurn_ >= kMostInTurn;
         if (rests) clients_.rested_.push_back(this);
-        connection_.read(wanted && !rests);
+        const bool reads = wanted && !rests;
+        if (!reads) caughtUp_ = false;
+        connection_.read(reads);
     }
 
     // Until when the client has to have done its part: sent the whole of a command that it has begun, its
@@ -441,8 +466,10 @@
     bool ending_ = false;     // nothing more is read of it
     bool lingers_ = false;    // told all, until it has read that
     bool listens_ = false;
-    bool useful_ = false;  // has said something that was right
-    Nanos heardAt_ = 0;    // when it last sent something or got an answer
+    bool caughtUp_ = false;  // it is being read, and the last read took all that the kernel had
+    Nanos knownOpenAt_ = 0;  // the latest time at which its connection was known to be open
+    bool useful_ = false;    // has said something that was right
+    Nanos heardAt_ = 0;      // when it last sent something or got an answer
     Nanos answeredAt_ = 0;
     Nanos owesSince_ = 0;  // when the command began that is not whole yet
     Nanos unreadSince_ = 0;
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -18,10 +18,6 @@
 // What a command costs beside its words, here and in the module: of short ones it is the most.
 constexpr std::size_t kMemoryOfCommand = 1024;
 
-// A command that waited for less goes out without a look whether its client is still there. One that has left
-// for 0.3 s is not to be sent on; it may have done so unread, or while this process was held up.
-constexpr Nanos kLookAgain = 100 * kMillisecond;
-
 constexpr std::size_t kMostKnown = 1000;  // servers that are gone: their ids are ever new
 
 // Caches close an idle connection at the settings' time at the latest. A tenth of it is ample for what is
@@ -134,7 +130,7 @@
 
 bool Core::awaited(Command& command) {
     if (!command.asker) return false;
-    if (transport::Loop::now() - command.takenAt < kLookAgain || command.asker->present()) return true;
+    if (command.asker->present()) return true;
     nobodyWaits(command);
     return false;
 }
--- a/src/routing/core.hpp
+++ b/src/routing/core.hpp
@@ -37,7 +37,8 @@
   public:
     virtual ~Asker() = default;
     virtual void tell(Final final) = 0;
-    // Still there, as far as can be seen. Once it says no, it has let go of the command.
+    // The client has not closed its connection, by a look that is recent enough for an attempt to begin. Once
+    // this returns false, the asker has let go of the command.
     virtual bool present() = 0;
     // Or a value that is too long to be kept: its first piece is at hand, and it is answered with that.
     virtual Taker& begin(std::size_t length, Giver& from) = 0;
