Tests: requests unread behind a long answer go to no cache once their client has left

Change: the test brings it about with an end that resets nothing yet, as a client on another machine does while the reset is under way (`Socket::endSending`).

--- a/tests/client_left_test.cpp
+++ b/tests/client_left_test.cpp
@@ -297,3 +297,31 @@
                       " ms after the close");
     }
 }
+
+TEST_CASE("client left: requests stand unread behind a long answer") {
+    const std::string answer = hit(std::string(kLongValue, 'x'));
+    const std::size_t held = 10'000;  // bytes of it that come after the close only
+    for (const int ms : {0, 30, 60, 90, 110, 120, 130, 140, 150}) {
+        const Milliseconds delay{ms};
+        CAPTURE(delay.count());
+        Stage stage;
+        Socket client = heardClient(stage);
+        client.say(patientGet("long"));
+        auto attempts = acceptAttempts(stage.caches[0], 1);
+        REQUIRE(attempts.size() == 1);
+        attempts.front().say(answer.substr(0, answer.size() - held));
+        CHECK(client.bytes(kLongValue - held).size() == kLongValue - held);
+        // More than the router reads in one turn.
+        client.say(manyGets(600, "k"));
+        usleep(50'000);
+        client.drain();
+        AttemptWatch watch(stage);
+        // As of a client on another machine, whose reset is on its way for as long as the answer is.
+        const auto closed = Clock::now();
+        client.endSending();
+        std::this_thread::sleep_until(closed + delay);
+        attempts.front().say(answer.substr(answer.size() - held));
+        watch.add(std::move(attempts.front()));
+        checkNoLateAttempt(watch, closed);
+    }
+}
--- a/tests/helper.hpp
+++ b/tests/helper.hpp
@@ -151,6 +151,8 @@
     void hangUp() {
         if (open()) close(std::exchange(descriptor_, -1));
     }
+    // The end alone: nothing is reset yet by what the other side still sends.
+    void endSending() { shutdown(descriptor_, SHUT_WR); }
     void reset() {
         const linger now{1, 0};
         setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
