--- a/src/routing/clients.cpp
+++ b/src/routing/clients.cpp
@@ -32,7 +32,9 @@
 // a system call if the connection was known to be open within this time, else the kernel is asked first.
 // The time of arrival that counts as known to be open may itself be late by 40 ms: a poll of 20 ms, and 10 ms
 // of delay each in the poll and in the turn before it, which Loop::arrivedBy doesn't take for being held up.
-// An attempt thus begins 60 ms after the close at the latest.
+// An attempt thus begins 60 ms after the close at the latest, if the kernel has the end by then. It has not
+// where a client has closed behind more bytes than fit in this machine's receive window (64 KiB at first):
+// the end stands on the client's machine until the router reads on.
 constexpr Nanos kKnownOpenFor = 20 * kMillisecond;
 // Longer ones than the first come in pieces: the last word of a write, up to 4 MiB.
 constexpr protocol::Decoder::Bounds kBounds{64 * 1024, 16, 1, 80 * 1024, true, 4 * 1024 * 1024, 4};
