Lists of servers and routers are bounded by bytes or ports, never by a number under 1,024

Cause: four caps stood at 1,000: servers that are gone (routing/core.cpp), servers out by an operator's word (program/words.cpp), commands shown (program/program.cpp) and instances of an agent and of a rollout's batch (ctl/description.cpp, rollout/plan.cpp). Others were hidden: a list from discovery had to fit in memory / 128, which at 56 MB is 437 KB; the operators' words had 256 KB on file; a line of the hand-over had 1 MB; and admin::Session passed the listening sockets at once, so that with a description longer than a local socket holds (3,100 servers in the file) "the listening sockets could not be passed". A ban over the cap was acknowledged, and did nothing.

Change: servers that are gone are remembered in a thirty-second of the memory (KnownServers); a list may take a thirty-second too, and is read entry by entry, so that no tree of JSON of the whole list is ever held, and nothing of what isn't asked for. Operators' words have 1 MB on file, which is over 4,000 servers with the longest ids, and the console says no where there is no room. Commands are shown up to a thirty-second of the memory, and all that is given up at the end is counted. Descriptors are passed once all that was said before is with the kernel; a line of the hand-over is read in parts, not by single bytes. An agent may keep as many instances as there are ports. The test of words that are too long had 500,000 bytes, which are not too long any more: it has 2,000,000 now.

--- a/src/admin/server.cpp
+++ b/src/admin/server.cpp
@@ -70,6 +70,17 @@
 }
 
 bool Session::pass(int descriptor) {
+    if (toPass_.empty() && connection_.unsent() == 0) return send(descriptor);
+    toPass_.push_back(descriptor);
+    return true;
+}
+
+void Session::emptied() {
+    for (const int descriptor : std::exchange(toPass_, {}))
+        if (!send(descriptor)) return ended();
+}
+
+bool Session::send(int descriptor) {
     char byte = '+';
     iovec piece{&byte, 1};
     alignas(cmsghdr) char room[CMSG_SPACE(sizeof descriptor)] = {};
--- a/src/admin/server.hpp
+++ b/src/admin/server.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <vector>
 
 #include "transport/connection.hpp"
 #include "transport/listener.hpp"
@@ -49,7 +50,7 @@
     ~Session() override;
 
     void say(const nlohmann::json& answer);
-    // Sends a descriptor beside one byte; false when the other side can't take it.
+    // Sends a descriptor beside one byte, after all that was said; false when the other side can't take it.
     bool pass(int descriptor);
     // The other side has gone, which may not have been read yet.
     bool left() const { return connection_.left(); }
@@ -60,10 +61,13 @@
     friend class Server;
     void received(std::string_view bytes) override;
     void ended() override;
+    void emptied() override;
+    bool send(int descriptor);
 
     Server& server_;
     transport::Connection connection_;
     std::string line_;
+    std::vector<int> toPass_;  // descriptors that wait until all that was said is with the kernel
 };
 
 }  // namespace poppyscale::admin
--- a/src/ctl/description.cpp
+++ b/src/ctl/description.cpp
@@ -14,6 +14,8 @@
 namespace poppyscale::ctl {
 namespace {
 
+constexpr int kMostInstances = 65'535;  // as many as ports
+
 std::string filled(std::string text, const std::map<std::string, std::string>& values) {
     for (const auto& [name, value] : values)
         for (auto at = text.find(name); at != std::string::npos; at = text.find(name, at + value.size()))
@@ -42,8 +44,8 @@
     d.file = file;
     if (const auto table = text::parseToml(said, file, problems)) {
         text::Table t(*table, problems);
-        d.terms.count = t.whole("count", std::nullopt, 1, 1000);
-        d.terms.batch = t.whole("batch", 1, 1, 1000);
+        d.terms.count = t.whole("count", std::nullopt, 1, kMostInstances);
+        d.terms.batch = t.whole("batch", 1, 1, kMostInstances);
         d.terms.readyWithin = t.millis("ready_ms", 10'000.0);
         d.terms.watch = t.millis("watch_ms", 2'000.0);
         d.terms.leastPause = t.millis("pause_ms", 200.0);
--- a/src/program/hand_over.cpp
+++ b/src/program/hand_over.cpp
@@ -24,7 +24,8 @@
 namespace {
 
 constexpr Nanos kPatience = 5'000 * kMillisecond;  // with the other process, for each of its answers
-constexpr std::size_t kLongestLine = 1 << 20;
+constexpr std::size_t kPartOfLine = 64 * 1024;
+constexpr std::size_t kLongestLine = 64 << 20;  // the answers of a process with a million servers are shorter
 
 sockaddr_un localAddress(const std::string& path) {
     sockaddr_un at{};
@@ -66,17 +67,28 @@
 
 nlohmann::json Caller::readLine() {
     std::string line;
-    // By single bytes: what follows the line may carry a socket and must not be read with it.
-    for (char byte = 0; line.size() < kLongestLine;) {
-        if (::recv(socket_, &byte, 1, 0) != 1) throw Silent("the other process is silent");
-        if (byte == '\n') break;
-        line += byte;
+    while (!line.ends_with('\n')) {
+        if (line.size() > kLongestLine) throw std::runtime_error("the other process says too long a line");
+        line += readPartOfLine();
     }
     const auto said = nlohmann::json::parse(line);
     if (said.contains("error")) throw std::runtime_error(said["error"].get<std::string>());
     return said;
 }
 
+// Looks before it takes: what follows the line may carry a socket and must not be read with it.
+std::string Caller::readPartOfLine() {
+    std::string part(kPartOfLine, '\0');
+    const auto seen = ::recv(socket_, part.data(), part.size(), MSG_PEEK);
+    if (seen <= 0) throw Silent("the other process is silent");
+    part.resize(static_cast<std::size_t>(seen));
+    if (const auto end = part.find('\n'); end != std::string::npos) part.resize(end + 1);
+    const auto got = ::recv(socket_, part.data(), part.size(), 0);
+    if (got <= 0) throw Silent("the other process is silent");
+    part.resize(static_cast<std::size_t>(got));
+    return part;
+}
+
 int askPredecessor(const std::string& path, Nanos patience, std::string& words) {
     std::optional<Caller> caller;
     try {
--- a/src/program/hand_over.hpp
+++ b/src/program/hand_over.hpp
@@ -37,6 +37,8 @@
     int release();  // it is the caller's from then on
 
   private:
+    std::string readPartOfLine();
+
     int socket_ = -1;
 };
 
--- a/src/program/program.cpp
+++ b/src/program/program.cpp
@@ -37,7 +37,12 @@
 constexpr std::size_t kOwnDescriptors = 32;  // standard streams, loop, signals, listener, discovery, operator
 constexpr std::size_t kLeastClients = 8;     // whatever another process holds
 constexpr std::size_t kMemoryOfClient = 8 * 1024;  // beside half-sent commands and answers, bounded elsewhere
-constexpr std::size_t kMostShown = 1000;           // commands, to the operator
+// A list from discovery is taken up to this part of the memory: while it is read there are for a moment a
+// copy of half of it that grows and the entries that were made of it.
+constexpr std::size_t kListPart = 32;
+// Commands are shown to the operator until their text would be longer than this part of the memory.
+constexpr std::size_t kShownPart = 32;
+constexpr std::size_t kTextOfShown = 256;  // of one command, beside its words
 
 // Kept for the console, so that no crowd of clients shuts operators out.
 std::size_t mostCallers(const protocol::Start& start) {
@@ -90,7 +95,7 @@
         // the sooner a silent discovery is noticed.
         const Nanos wait = std::clamp(start.watchFor, kLeastWait, kMostWait);
         watch_.emplace(loop_, pool_, *core_, discoveryOf(start), start.discovery, start.known.version, wait,
-                       start.terms.seed, start.memory / 128, log("discovery", Level::warning));
+                       start.terms.seed, start.memory / kListPart, log("discovery", Level::warning));
         core_->askForList = [this] { watch_->want(); };
     }
     next_.emplace(loop_, [this] { enter(state_ == State::leaving ? State::draining : State::done); });
@@ -300,7 +305,7 @@
             break;
         case State::done: {
             std::map<std::string, int> left;
-            for (const auto& s : core_->standing(kMostShown))
+            for (const auto& s : core_->standing())
                 if (s.asked) ++left[s.verb];
             std::string words;
             for (const auto& [verb, count] : left) words += fmt::format(", {} {} given up", count, verb);
@@ -465,7 +470,12 @@
 nlohmann::json Program::commands() {
     const Nanos now = transport::Loop::now();
     auto all = nlohmann::json::array();
-    for (const auto& s : core_->standing(kMostShown))
+    std::size_t room = told_.start.memory / kShownPart;
+    for (const auto& s : core_->standing()) {
+        const std::size_t text =
+            kTextOfShown + s.id.size() + s.verb.size() + s.customer.size() + s.key.size() + s.at.size();
+        if (text > room) break;
+        room -= text;
         all.push_back({{"id", s.id},
                        {"verb", s.verb},
                        {"customer", s.customer},
@@ -476,6 +486,7 @@
                        {"waited_for", s.asked},
                        {"at", s.at},
                        {"out_ms", s.at.empty() ? 0 : millis(now - s.sentAt)}});
+    }
     return {{"open", core_->open()}, {"commands", std::move(all)}};
 }
 
--- a/src/program/succession.cpp
+++ b/src/program/succession.cpp
@@ -61,7 +61,8 @@
 
 std::string Succession::say(const std::string& word) {
     Words next = words_;
-    next.take(word);
+    if (!next.take(word))
+        return fmt::format("it can't be kept: {} servers are out already", words_.out.size());
     if (next == words_) return "";
     if (file_)
         if (const auto problem = file_->write(next); !problem.empty())
--- a/src/program/words.cpp
+++ b/src/program/words.cpp
@@ -14,9 +14,12 @@
 namespace {
 
 constexpr std::string_view kHead = "poppyscale words 1";
-constexpr std::size_t kLongestFile = 256 * 1024;
+constexpr std::string_view kOut = "out ";
+constexpr std::size_t kLongestFile = 1 << 20;  // it is read whole at a start, and handed over in one line
 constexpr std::size_t kLongestId = 256;
-constexpr std::size_t kMostOut = 1000;
+// As many servers out as fit into the file, whatever their ids.
+constexpr std::size_t kMostOut = (kLongestFile - 64) / (kOut.size() + kLongestId + 1);
+static_assert(kMostOut > 4'000);
 
 bool isId(std::string_view id) {
     return !id.empty() && id.size() <= kLongestId &&
@@ -28,7 +31,7 @@
 std::string Words::text() const {
     std::string text(kHead);
     text += '\n';
-    for (const auto& id : out) text += "out " + id + "\n";
+    for (const auto& id : out) text.append(kOut).append(id) += '\n';
     if (standby) text += "standby\n";
     return text;
 }
@@ -59,7 +62,10 @@
     const auto id = word.substr(std::min(word.size(), word.find(' ') + 1));
     if (!isId(id)) return false;
     if (word.starts_with("in ")) return out.erase(std::string(id)), true;
-    return word.starts_with("out ") && out.size() < kMostOut && (out.emplace(id), true);
+    if (!word.starts_with(kOut)) return false;
+    if (out.size() >= kMostOut && !out.contains(std::string(id))) return false;
+    out.emplace(id);
+    return true;
 }
 
 std::string WordsFile::write(const Words& words) const {
--- a/src/program/words.hpp
+++ b/src/program/words.hpp
@@ -13,7 +13,8 @@
     bool standby = false;
 
     std::string text() const;
-    // "out ID", "in ID", "standby" or "active"; false when it is none of these.
+    // "out ID", "in ID", "standby" or "active"; false when it is none of these, or there is no room for
+    // one more server that is out.
     bool take(std::string_view word);
     // Takes what can be read; empty, or what is wrong with the rest.
     std::string read(std::string_view text);
--- a/src/protocol/discovery.cpp
+++ b/src/protocol/discovery.cpp
@@ -1,6 +1,7 @@
 #include "protocol/discovery.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -17,11 +18,9 @@
 
 // Every use of the library goes through here: it throws its own kinds for what is missing or of another type.
 template <class Read>
-auto reading(std::string_view text, Read read) {
-    // Brackets within brackets take forty times the room of their text.
-    const auto shallow = [](int depth, Json::parse_event_t, Json&) { return depth <= kDeepest; };
+auto reading(Read read) {
     try {
-        return read(Json::parse(text, shallow));
+        return read();
     } catch (const Json::exception& problem) {
         throw Malformed(problem.what());
     }
@@ -58,14 +57,67 @@
     return place;
 }
 
-Roster rosterOf(const Json& json, bool inFile) {
+// Of the file that a process is started with.
+Roster rosterOf(const Json& json) {
     Roster roster;
     roster.version = json.at("version").get<std::int64_t>();
     roster.full = json.at("full").get<bool>();
-    for (const Json& entry : json.at("servers")) roster.places.push_back(placeOf(entry, inFile));
+    for (const Json& entry : json.at("servers")) roster.places.push_back(placeOf(entry, true));
     return roster;
 }
 
+// Reads a roster entry by entry: as a whole a tree of JSON takes five to forty times the room of its text,
+// and the longest list that may come is bounded by its text. What is not asked for in here is not kept for a
+// moment.
+class RosterReader {
+  public:
+    Roster read(std::string_view text) {
+        const Json json = Json::parse(text, [this](int depth, Json::parse_event_t event, Json& parsed) {
+            return keeps(depth, event, parsed);
+        });
+        roster_.version = json.at("version").get<std::int64_t>();
+        roster_.full = json.at("full").get<bool>();
+        if (!json.at("servers").is_array()) throw Malformed("servers is not a list");
+        return std::move(roster_);
+    }
+
+  private:
+    using Event = Json::parse_event_t;
+    // How many containers are around what was met.
+    static constexpr int kRoster = 1, kServers = 2, kEntry = 3;
+
+    bool keeps(int depth, Event event, Json& parsed) {
+        if (depth < kRoster) return true;
+        if (depth == kRoster) return event != Event::key || keepsKey(parsed);
+        if (!inServers_ || depth > kEntry) return false;
+        if (depth == kServers) return keepsServer(event, parsed);
+        return event != Event::key || isFieldOfEntry(parsed.get_ref<const std::string&>());
+    }
+
+    bool keepsKey(const Json& key) {
+        inServers_ = key == "servers";
+        if (inServers_) roster_.places.clear();  // of one key twice the last one holds
+        return inServers_ || key == "version" || key == "full";
+    }
+
+    // An entry is taken at its end, and dropped from the tree.
+    bool keepsServer(Event event, const Json& entry) {
+        if (event == Event::object_start) return true;
+        if (event != Event::object_end) throw Malformed("an entry that is not an object");
+        roster_.places.push_back(placeOf(entry, false));
+        return false;
+    }
+
+    static bool isFieldOfEntry(std::string_view name) {
+        return std::find(kFields.begin(), kFields.end(), name) != kFields.end();
+    }
+
+    static constexpr std::array<std::string_view, 8> kFields{"id",   "state",  "zone", "kind",
+                                                             "cell", "weight", "addr", "started_ms"};
+    Roster roster_;
+    bool inServers_ = false;
+};
+
 std::string scalar(const Json& value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
 
 void flatten(const Json& value, const std::string& path, Paths& paths) {
@@ -90,11 +142,14 @@
 }  // namespace
 
 Roster readRoster(std::string_view text) {
-    return reading(text, [](const Json& json) { return rosterOf(json, false); });
+    return reading([&] { return RosterReader().read(text); });
 }
 
 Start readStart(std::string_view text) {
-    return reading(text, [](const Json& json) {
+    // Brackets within brackets take forty times the room of their text.
+    const auto shallow = [](int depth, Json::parse_event_t, Json&) { return depth <= kDeepest; };
+    return reading([&] {
+        const Json json = Json::parse(text, shallow);
         Start start;
         start.name = json.at("name").get<std::string>();
         start.listen = json.at("listen").get<std::string>();
@@ -110,7 +165,7 @@
             throw Malformed("limits are out of range: at least 16 MB and 64 sockets are needed");
         start.memory = static_cast<std::size_t>(megabytes * 1e6);
         start.descriptors = static_cast<std::size_t>(sockets);
-        if (json.contains("known")) start.known = rosterOf(json.at("known"), true);
+        if (json.contains("known")) start.known = rosterOf(json.at("known"));
         const Json& settings = json.at("settings");
         if (settings.contains("weights") && !settings.at("weights").is_string())
             throw Malformed("setting weights is not a word");
--- a/src/rollout/plan.cpp
+++ b/src/rollout/plan.cpp
@@ -16,12 +16,14 @@
 
 using text::Table;
 
+constexpr int kMostInstances = 10'000'000;  // of all machines: a form's largest whole number
+
 void readStages(Table& t, Plan& plan) {
     t.each("stages", false, [&](Table& s) {
         Stage stage;
         if (s.has("instances") == s.has("share"))
             s.problem("instances", "either instances or share has to be there");
-        if (s.has("instances")) stage.instances = s.whole("instances", 1, 1, 100'000);
+        if (s.has("instances")) stage.instances = s.whole("instances", 1, 1, kMostInstances);
         if (s.has("share")) stage.share = s.part("share", 1.0);
         if (s.has("share") && stage.share <= 0) s.problem("share", "is not over 0");
         const Stage* const before = plan.stages.empty() ? nullptr : &plan.stages.back();
@@ -94,7 +96,7 @@
         plan.settle = s.millis("settle_ms", 5'000.0);
         plan.watch = s.millis("watch_ms", 30'000.0);
         if (plan.longest < plan.least) s.problem("longest_ms", "is under least_ms");
-        plan.batch = s.whole("batch", 1, 1, 1000);
+        plan.batch = s.whole("batch", 1, 1, kMostInstances);
         plan.goUntold = s.word<bool>("untold", {{"stop", false}, {"go", true}}, false);
     });
     t.one("keep", false, [&](Table& k) {
@@ -102,7 +104,7 @@
         if (plan.keep < 1'000 * kMillisecond) k.problem("without_word_ms", "is under 1000");
     });
     t.one("back", false, [&](Table& b) {
-        plan.backBatch = b.whole("batch", 2, 1, 1000);
+        plan.backBatch = b.whole("batch", 2, 1, kMostInstances);
         plan.backWithin = b.millis("within_ms", 120'000.0);
     });
     t.one("worse", false, [&](Table& w) { readWorse(w, plan.worse); });
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -22,7 +22,9 @@
 // for 0.3 s is not to be sent on; it may have done so unread, or while this process was held up.
 constexpr Nanos kLookAgain = 100 * kMillisecond;
 
-constexpr std::size_t kMostKnown = 1000;  // servers that are gone: their ids are ever new
+// Servers that are gone are remembered in this part of the memory: their ids are ever new. With the least
+// memory that is 1,200 ids of the longest that can be banned.
+constexpr std::size_t kKnownServersPart = 32;
 
 // Caches close an idle connection at the settings' time at the latest. A tenth of it is ample for what is
 // on its way; a router that sees a cache every ten seconds opens twice as many where it keeps half of it.
@@ -44,6 +46,7 @@
       clockLead_(leadOfClock()),
       originShape_(start.terms.originShape),
       aside_(start.terms.aside),
+      known_(start.memory / kKnownServersPart),
       wakeUp_(loop, [this] { due_ = true; }),
       router_(start.terms, *this, transport::Loop::now()) {
     for (const Verb& verb : start.terms.verbs) verbs_.insert(verb.name);
@@ -95,7 +98,7 @@
     events_.push_back({transport::Loop::now(), Changed{start.terms}});
 }
 
-std::vector<Standing> Core::standing(std::size_t most) const {
+std::vector<Standing> Core::standing() const {
     std::unordered_map<const Upstream*, std::string_view> names;
     for (const auto& [name, upstream] : upstreams_) names[upstream.get()] = name;
     std::vector<const Command*> order;
@@ -103,7 +106,6 @@
     std::sort(order.begin(), order.end(), [](const Command* a, const Command* b) { return a->id < b->id; });
     std::vector<Standing> all;
     for (const Command* c : order) {
-        if (all.size() >= most) break;
         Standing& s = all.emplace_back();
         s.id = c->said.id;
         s.verb = c->said.verb;
@@ -157,7 +159,7 @@
         if (!upstream) {
             upstream = std::make_unique<Upstream>(links_, aside_ && entry.shape == originShape_);
             upstream->bar(bans_.contains(entry.name));
-            std::erase(known_, entry.name);
+            known_.remove(entry.name);
         }
         const auto address = transport::parseAddress(place.address);
         if (!address && entry.presence != Presence::gone)
@@ -169,17 +171,16 @@
         for (auto& [name, upstream] : upstreams_)
             if (!named.contains(name)) upstream->listed(Presence::gone, std::nullopt, "");
     std::erase_if(upstreams_, [this](const auto& entry) {
-        if (entry.second->unused()) known_.push_back(entry.first);
+        if (entry.second->unused()) known_.add(entry.first);
         return entry.second->unused();
     });
-    while (known_.size() > kMostKnown) known_.pop_front();
     events_.push_back({transport::Loop::now(), std::move(news)});
 }
 
 std::string Core::whyNoBan(const std::string& name) const {
     const auto it = upstreams_.find(name);
     if (it != upstreams_.end()) return it->second->origin() ? "that is the origin, not a cache" : "";
-    const bool known = bans_.contains(name) || std::find(known_.begin(), known_.end(), name) != known_.end();
+    const bool known = bans_.contains(name) || known_.contains(name);
     return known ? "" : "no server of that id was ever listed here";
 }
 
@@ -188,7 +189,7 @@
     const auto it = upstreams_.find(name);
     if (it != upstreams_.end()) it->second->bar(on);
     // Known from now on, also when it was told by another process that had it listed.
-    if (it == upstreams_.end() && !on) known_.push_back(name);
+    if (it == upstreams_.end() && !on) known_.add(name);
     events_.push_back({transport::Loop::now(), Banned{name, on}});
 }
 
--- a/src/routing/core.hpp
+++ b/src/routing/core.hpp
@@ -2,7 +2,6 @@
 // Decides nothing, and knows nothing of what fronts and caches speak.
 #pragma once
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -18,6 +17,7 @@
 #include "logic.hpp"
 #include "protocol/command.hpp"
 #include "protocol/discovery.hpp"
+#include "routing/known_servers.hpp"
 #include "routing/upstream.hpp"
 #include "transport/loop.hpp"
 #include "transport/pool.hpp"
@@ -98,8 +98,8 @@
     // From now on what is done is counted; null until then.
     void count(const std::vector<Verb>& verbs);
     counts::Counts* counts() { return counts_.get(); }
-    // The oldest first, `most` of them.
-    std::vector<Standing> standing(std::size_t most) const;
+    // The oldest first.
+    std::vector<Standing> standing() const;
     std::vector<Belief> beliefs() { return router_.beliefs(transport::Loop::now()); }
     // Other verbs, customers and figures from the next turn on; what is open ends by what it came under.
     void changed(const protocol::Start& start);
@@ -191,7 +191,7 @@
     std::unordered_set<std::string_view> ids_;  // that clients gave the commands
     std::unordered_map<std::string, std::unique_ptr<Upstream>> upstreams_;
     std::set<std::string> bans_;
-    std::deque<std::string> known_;  // that were listed and are gone, the latest last
+    KnownServers known_;  // that were listed and are gone
     std::vector<Event> events_;
     std::vector<Action> actions_;
     transport::Alarm wakeUp_;
--- /dev/null
+++ b/src/routing/known_servers.cpp
@@ -0,0 +1,34 @@
+#include "routing/known_servers.hpp"
+
+#include <iterator>
+
+namespace poppyscale::routing {
+namespace {
+
+// What one id costs beside its characters: a list node, a hash node and its bucket, each with the allocator's
+// own part.
+constexpr std::size_t kBytesBesideId = 160;
+
+std::size_t bytesOf(std::string_view id) { return kBytesBesideId + id.size(); }
+
+}  // namespace
+
+void KnownServers::add(const std::string& id) {
+    remove(id);
+    byAge_.push_back(id);
+    const Position position = std::prev(byAge_.end());
+    positions_.emplace(*position, position);
+    usedBytes_ += bytesOf(id);
+    while (usedBytes_ > capacityBytes_) remove(byAge_.front());
+}
+
+void KnownServers::remove(std::string_view id) {
+    const auto found = positions_.find(id);
+    if (found == positions_.end()) return;
+    const Position position = found->second;
+    usedBytes_ -= bytesOf(*position);
+    positions_.erase(found);
+    byAge_.erase(position);
+}
+
+}  // namespace poppyscale::routing
--- /dev/null
+++ b/src/routing/known_servers.hpp
@@ -0,0 +1,32 @@
+// Remembers the ids of servers that were listed once and are gone, so that an operator may still ban them.
+#pragma once
+
+#include <cstddef>
+#include <list>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace poppyscale::routing {
+
+// Holds as many ids as fit into its bytes; the one that went first is forgotten first.
+class KnownServers {
+  public:
+    explicit KnownServers(std::size_t capacityBytes) : capacityBytes_(capacityBytes) {}
+
+    // An id that is there already counts as the latest from now on.
+    void add(const std::string& id);
+    void remove(std::string_view id);
+    bool contains(std::string_view id) const { return positions_.contains(id); }
+    std::size_t size() const { return byAge_.size(); }
+
+  private:
+    using Position = std::list<std::string>::iterator;
+
+    std::size_t capacityBytes_;
+    std::size_t usedBytes_ = 0;
+    std::list<std::string> byAge_;                              // the latest last
+    std::unordered_map<std::string_view, Position> positions_;  // keys are the strings in `byAge_`
+};
+
+}  // namespace poppyscale::routing
--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -249,7 +249,7 @@
     CHECK(read("poppyscale words 1\nout c0\nout s-5b", "cut short").out == std::set<std::string>{"c0"});
     CHECK(read("poppyscale words 2\nout c0\nfrobnicate 7\nstandby\n", "another version").out.contains("c0"));
     CHECK(read("poppyscale words 1\nout \nout a b\nout \x01\nout c1\n", "can't be read").out.size() == 1);
-    CHECK(read(std::string(500'000, '\n'), "too long") == program::Words{});
+    CHECK(read(std::string(2'000'000, '\n'), "too long") == program::Words{});
     CHECK(read(std::string("\0\xff\x80\n", 4), "nonsense") == program::Words{});
     CHECK(words.take("in c0"));
     CHECK(words.take("active"));
