Work at cold caches from all routers is a figure of the lab, played with thirty routers

Need: "Cold servers fall under the sum of all processes; over a budget of N only 2 x root of N + 2 is chance, also at twenty to thirty processes." The lab blamed routers for falls, and told nothing of how near the sum of all of them came to N.

Change: ColdLoad holds, for each attempt at a cold cache, the work of the span before it by all routers that were told of its start beside N (tip x present share of its capacity x span), both in attempts of mean work. Figures cold_servers, cold_most_sent, cold_most_allowed, cold_load, cold_load_mean, cold_excess, cold_untold, cold_falls; bounds cold_load, cold_excess, cold_falls. SimWanted::mistake changes what routers are told, for known mistakes.

With each router taking the whole budget (tip x routers) the bounds cold_load and cold_excess break, which the test asserts.

--- a/src/lab/model/scenario.cpp
+++ b/src/lab/model/scenario.cpp
@@ -313,6 +313,9 @@
         s.bounds.relays = h.real("relays", 1e9);
         s.bounds.connections = h.real("connections", 1e9);
         s.bounds.crossings = h.real("crossings", 1e9);
+        s.bounds.coldLoad = h.real("cold_load", 1e9);
+        s.bounds.coldExcess = h.real("cold_excess", 1e9);
+        s.bounds.coldFalls = h.real("cold_falls", 1e9);
         s.bounds.originMean = h.real("origin_mean", 1e9);
         s.bounds.apart = h.part("apart", 1.0);
         s.bounds.sentOn = h.part("sent_on", 1.0);
--- a/src/lab/model/scenario.hpp
+++ b/src/lab/model/scenario.hpp
@@ -202,6 +202,9 @@
     double sentOn = 1;         // of commands whose clients left waiting: share sent on 0.3 s later, at most
     double connections = 1e9;  // to caches and origin that are opened, a command, at most
     double crossings = 1e9;    // relays to another zone, a command, at most
+    double coldLoad = 1e9;     // work that reached a cold cache in a span over what it is allowed, at most
+    double coldExcess = 1e9;   // of what chance may add to that, the part that was used, at most
+    double coldFalls = 1e9;    // cold caches that went down, at most
     double went = 0, undone = 0;  // of the roll, at least: 1 or not asked for
     double harmed = 1;        // share of commands that were not answered in goal, from the roll's begin on
     double originMean = 1e9;  // fetches and writes a second at the origin over its capacity, at most
--- /dev/null
+++ b/src/lab/report/cold_load.cpp
@@ -0,0 +1,100 @@
+#include "lab/report/cold_load.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace poppyscale::lab {
+
+double ColdLoad::Span::excess() const { return (sent - allowed) / (2 * std::sqrt(allowed) + 2); }
+
+ColdLoad::ColdLoad(const nlohmann::json& head) : largestExcess_(std::numeric_limits<double>::lowest()) {
+    const auto cold = head.value("cold", nlohmann::json::object());
+    startShare_ = cold.value("share", 1.0);
+    ramp_ = cold.value("ramp", Nanos{0});
+    tip_ = cold.value("tip", 0.0);
+    span_ = cold.value("span", Nanos{0});
+}
+
+double ColdLoad::largestShare() const { return largest_.allowed > 0 ? largest_.sent / largest_.allowed : 0; }
+
+double ColdLoad::meanSent() const { return judged_ > 0 ? shareSum_ / static_cast<double>(judged_) : 0; }
+
+double ColdLoad::untoldShare() const {
+    const auto all = static_cast<double>(judged_ + untold_);
+    return all > 0 ? static_cast<double>(untold_) / all : 0;
+}
+
+bool ColdLoad::wasTold(int router, int server) const {
+    const auto told = told_.find({router, server});
+    return told != told_.end() && told->second == all_.at(static_cast<std::size_t>(server)).startedAt;
+}
+
+bool ColdLoad::isCold(const Server& server, Nanos now) const {
+    return !server.origin && server.startedAt > 0 && now - server.startedAt < ramp_;
+}
+
+double ColdLoad::capacityShare(const Server& server, Nanos now) const {
+    const double warmed = static_cast<double>(now - server.startedAt) / static_cast<double>(ramp_);
+    return startShare_ + (1 - startShare_) * std::clamp(warmed, 0.0, 1.0);
+}
+
+void ColdLoad::see(const Entry& e) {
+    if (e.what == What::server) {
+        Server server;
+        server.origin = wordAt(e.text, 3) == "origin";
+        server.capacity = std::atof(std::string(wordAt(e.text, 4)).c_str());
+        all_.push_back(std::move(server));
+        return;
+    }
+    if (e.what == What::killed)
+        std::erase_if(told_, [&](const auto& t) { return t.first.first == e.router; });
+    if (e.server < 0) return;
+    if (e.what == What::listed && e.text == "ready") told_[{e.router, e.server}] = e.number;
+    if (e.what == What::started) {
+        Server& server = all_.at(static_cast<std::size_t>(e.server));
+        server.startedAt = e.number;
+        server.recent.clear();
+        server.recentWork = 0;
+        servers_ += !server.origin;
+    } else if (e.what == What::fell) {
+        falls_ += isCold(all_.at(static_cast<std::size_t>(e.server)), e.at);
+    } else if (e.what == What::sent) {
+        sent(e, all_.at(static_cast<std::size_t>(e.server)));
+    }
+}
+
+void ColdLoad::sent(const Entry& e, Server& server) {
+    if (server.origin) return;
+    const auto work = static_cast<double>(e.number);
+    ++attempts_;
+    work_ += work;
+    if (!isCold(server, e.at)) return;
+    if (!wasTold(e.router, e.server)) {
+        ++untold_;
+        return;
+    }
+    server.recent.push_back({e.at, work});
+    server.recentWork += work;
+    while (server.recent.front().at <= e.at - span_ && server.recent.size() > 1) {
+        server.recentWork -= server.recent.front().work;
+        server.recent.pop_front();
+    }
+    judge(server, e.at);
+}
+
+void ColdLoad::judge(const Server& server, Nanos now) {
+    const double meanWork = work_ / attempts_;
+    const double bearable = server.capacity * capacityShare(server, now) * static_cast<double>(span_);
+    const Span span{server.recentWork / meanWork, tip_ * bearable / meanWork};
+    if (span.allowed <= 0) return;
+    ++judged_;
+    shareSum_ += span.sent / span.allowed;
+    largestExcess_ = std::max(largestExcess_, span.excess());
+    if (span.sent / span.allowed > largestShare()) largest_ = span;
+}
+
+}  // namespace poppyscale::lab
--- a/src/lab/report/figures.cpp
+++ b/src/lab/report/figures.cpp
@@ -22,7 +22,7 @@
     return static_cast<double>(*at) / 1e6;
 }
 
-Figures::Figures(const nlohmann::json& head) : head_(head) {
+Figures::Figures(const nlohmann::json& head) : head_(head), coldLoad_(head) {
     for (const auto& v : head_.at("verbs")) verbNames_.push_back(v.at("name").get<std::string>());
     perVerb_.resize(verbNames_.size());
     inGoalOfVerb_.resize(verbNames_.size());
@@ -35,6 +35,7 @@
 }
 
 void Figures::see(const Entry& e) {
+    coldLoad_.see(e);
     if (e.what != What::server) lastAt_ = std::max(lastAt_, e.at);
     const auto wishOf = [&]() -> Wish* {
         const auto first = firsts_.find(e.command);
@@ -181,6 +182,16 @@
         all_.emplace_back("goal_moved", of(1));
         all_.emplace_back("apart", std::abs(of(0) - of(1)));
     }
+    if (coldLoad_.servers() > 0) {
+        all_.emplace_back("cold_servers", coldLoad_.servers());
+        all_.emplace_back("cold_most_sent", coldLoad_.largest().sent);
+        all_.emplace_back("cold_most_allowed", coldLoad_.largest().allowed);
+        all_.emplace_back("cold_load", coldLoad_.largestShare());
+        all_.emplace_back("cold_load_mean", coldLoad_.meanSent());
+        all_.emplace_back("cold_excess", coldLoad_.largestExcess());
+        all_.emplace_back("cold_untold", coldLoad_.untoldShare());
+        all_.emplace_back("cold_falls", coldLoad_.falls());
+    }
     if (rolling_) {
         const bool back = rolled_ == "undone" || rolled_ == "notundone";
         all_.emplace_back("went", rolled_ == "went");
--- a/src/lab/report/figures.hpp
+++ b/src/lab/report/figures.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "lab/model/ledger.hpp"
+#include "lab/report/cold_load.hpp"
 
 namespace poppyscale::lab {
 
@@ -87,6 +88,7 @@
     bool rolling_ = false;
     std::string rolled_;
     std::map<int, bool> changedNow_;
+    ColdLoad coldLoad_;
     std::vector<std::pair<std::string, double>> all_;
 };
 
--- a/src/lab/sim/sim.cpp
+++ b/src/lab/sim/sim.cpp
@@ -148,6 +148,11 @@
         if (slot >= 0 && !std::exchange(touched_[static_cast<std::size_t>(slot)], 1)) dirty_.push_back(slot);
     }
     bool counted() const { return static_cast<bool>(wanted_.attach); }
+    Terms termsFor(int router, std::uint64_t routerSeed) const {
+        Terms terms = termsOf(world.scenario(), router, routerSeed);
+        if (wanted_.mistake) wanted_.mistake(terms);
+        return terms;
+    }
     void struck() { ++harmed_; }
 
     void ask(const Ask& ask) override {
@@ -318,9 +323,9 @@
       startedAt_(now),
       harm_(harm),
       chance_(seed * 7 + 1),
-      router_(termsOf(play.world.scenario(), index, seed), *this, kBase + now) {
+      router_(play.termsFor(index, seed), *this, kBase + now) {
     if (!play.counted()) return;
-    counts_ = std::make_unique<counts::Counts>(termsOf(play.world.scenario(), index, seed).verbs);
+    counts_ = std::make_unique<counts::Counts>(play.termsFor(index, seed).verbs);
 }
 
 bool SimRouter::strikes(Harm::Kind kind) {
--- a/src/lab/sim/sim.hpp
+++ b/src/lab/sim/sim.hpp
@@ -50,6 +50,8 @@
     std::function<void(SimFleet&)> attach;
     std::function<void()> over;  // while the fleet is still there
     Harm harm;
+    // A known mistake: changes what the configuration says to each router, and to nobody else.
+    std::function<void(Terms&)> mistake = {};
 };
 
 SimResult simulate(const Scenario& scenario, std::uint64_t seed, Ledger& ledger,
--- a/tests/lab_world_test.cpp
+++ b/tests/lab_world_test.cpp
@@ -1,6 +1,7 @@
 // Stories of the lab's world, its audit and its scenarios: no sockets, no clock.
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -8,6 +9,7 @@
 
 #include "lab/model/machine.hpp"
 #include "lab/model/scenario.hpp"
+#include "lab/report/cold_load.hpp"
 #include "lab/report/judge.hpp"
 #include "lab/sim/sim.hpp"
 #include "protocol/discovery.hpp"
@@ -412,6 +414,63 @@
     }
 }
 
+TEST_CASE("work at a cold cache is summed over all routers that know of its start, beside what it may get") {
+    // Capacity 4, of which a cold one has half: with tip 2 and a span of 1 s it may get 4 s of work.
+    nlohmann::json head{
+        {"cold", {{"share", 0.5}, {"ramp", 1'000'000 * ms}, {"tip", 2.0}, {"span", 1'000 * ms}}}};
+    ColdLoad load(head);
+    const auto see = [&](Nanos at, What what, int router, int server, std::int64_t number,
+                         const std::string& text) {
+        load.see({at, what, 0, router, server, 0, number, text});
+    };
+    const auto sent = [&](Nanos at, int router, int server) {
+        see(at, What::sent, router, server, 40 * ms, "");
+    };
+    see(0, What::server, -1, 0, 0, "origin north 0 origin 8");
+    see(0, What::server, -1, 1, 0, "cache-0 north 0 cache 4");
+    sent(1 * ms, 0, 1);  // it is warm
+    CHECK(load.servers() == 0);
+    CHECK(load.largestExcess() == 0);
+    see(5 * ms, What::started, -1, 1, 5 * ms, "");
+    sent(6 * ms, 0, 1);  // not told yet
+    for (const int router : {0, 1, 2}) see(7 * ms, What::listed, router, 1, 5 * ms, "ready");
+    for (int i = 0; i < 60; ++i) sent((10 + i) * ms, i % 3, 1);
+    for (int i = 0; i < 60; ++i) sent((10 + i) * ms, i % 3, 0);  // the origin is never cold
+    CHECK(load.servers() == 1);
+    CHECK(load.untoldShare() == doctest::Approx(1.0 / 61));
+    CHECK(load.largest().sent == doctest::Approx(60));
+    CHECK(load.largest().allowed == doctest::Approx(100).epsilon(0.01));
+    CHECK(load.largestExcess() < 0);
+    for (int i = 0; i < 62; ++i) sent(500 * ms, i % 3, 1);  // 122 in a span: 2 * sqrt(100) + 2 more than 100
+    CHECK(load.largest().sent == doctest::Approx(122));
+    CHECK(load.largestExcess() == doctest::Approx(1).epsilon(0.01));
+    sent(2'000 * ms, 0, 1);  // the others are over a span ago
+    CHECK(load.largest().sent == doctest::Approx(122));
+    see(2'001 * ms, What::fell, -1, 1, 0, "");
+    see(2'002 * ms, What::fell, -1, 0, 0, "");
+    CHECK(load.falls() == 1);
+    see(2'003 * ms, What::killed, 0, -1, 0, "asked");
+    sent(2'004 * ms, 0, 1);  // its next process was told nothing yet
+    CHECK(load.untoldShare() == doctest::Approx(2.0 / 125));
+}
+
+TEST_CASE("thirty routers share the budget of a cold cache; with a whole budget each they break its bounds") {
+    const Scenario s = parseScenario(fileText(SCENARIOS "/cold-thirty.toml"), "cold-thirty.toml");
+    const auto play = [&](const SimWanted& wanted) {
+        Judge judge;
+        Ledger ledger;
+        judge.follow(ledger);
+        simulate(s, 1, ledger, wanted);
+        return judge.verdict();
+    };
+    CHECK(play({}).empty());
+    SimWanted wholeBudget;
+    wholeBudget.mistake = [](Terms& terms) { terms.tipMultiple *= terms.routers; };
+    const auto broken = play(wholeBudget);
+    for (const char* bound : {"bound-cold_load", "bound-cold_excess"})
+        CHECK(std::find(broken.begin(), broken.end(), bound) != broken.end());
+}
+
 TEST_CASE("the audit: a cold cache that goes down counts when two thirds came from who knew") {
     for (const bool knew : {true, false}) {
         Told t;
