poppylab measure-module: what a decision costs by the number of caches, with a prediction that can fail

Need: what the decision module costs by the number of caches was told nowhere. By the code, choosing a cache visits every usable server (src/logic.cpp, topOf) and each list change surveys them all anew (survey), so both should grow with the list; no figure said how fast or whether by a line.

No figure of the module is claimed here.

--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -25,6 +25,7 @@
 #include "lab/report/experiment.hpp"
 #include "lab/report/figures.hpp"
 #include "lab/report/judge.hpp"
+#include "lab/scale/measure.hpp"
 #include "lab/sim/leases.hpp"
 #include "lab/sim/roll.hpp"
 #include "lab/sim/sim.hpp"
@@ -251,6 +252,18 @@
     leasing->add_option("--faults", leases.faults, "all, none, loss, flap, restart or holders")
         ->check(CLI::IsMember({"all", "none", "loss", "flap", "restart", "holders"}));
     leasing->add_option("--without", guard, "a guard that is left out, and has to be missed");
+    auto* measuring = app.add_subcommand(
+        "measure-module", "what the decision module costs by the number of caches, with a prediction");
+    scale::ModuleSeries module;
+    measuring->add_option("--caches", module.sizes, "100,200,400,600,775 without it")
+        ->delimiter(',')
+        ->check(CLI::Range(2, 100'000));
+    measuring->add_option("--seeds", module.seeds, "3 without it")->check(CLI::Range(1, 20));
+    measuring->add_option("--factor", module.factor, "of the largest size, for the prediction; 4 without it")
+        ->check(CLI::Range(0, 20));
+    measuring->add_option("--zones", module.options.zones, "10 without it")->check(CLI::Range(1, 1000));
+    measuring->add_option("--requests", module.options.requests, "40000 without it")
+        ->check(CLI::Range(100, 10'000'000));
     auto* audit = app.add_subcommand("audit", "judges a log again");
     std::string dir;
     audit->add_option("dir", dir, "the folder of a run")->required();
@@ -290,6 +303,7 @@
             if (!guard.empty()) leases.without = {lease::guardNamed(guard)};
             return leaseIt(leases);
         }
+        if (*measuring) return scale::measureSeries(module) ? kKept : kBroken;
         if (*exploring) return explore(look) ? kKept : kBroken;
         if (*audit) return judgeAgain(dir) ? kKept : kBroken;
     } catch (const std::exception& problem) {
