--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -25,6 +25,7 @@
 #include "lab/report/experiment.hpp"
 #include "lab/report/figures.hpp"
 #include "lab/report/judge.hpp"
+#include "lab/scale/capacity.hpp"
 #include "lab/scale/measure.hpp"
 #include "lab/sim/leases.hpp"
 #include "lab/sim/roll.hpp"
@@ -153,6 +154,16 @@
     return kept ? kKept : kBroken;
 }
 
+int printCapacity(const std::string& targetFile, const std::string& slopesFile) {
+    try {
+        fmt::print("{}", scale::capacityOfFiles(targetFile, slopesFile));
+        return kKept;
+    } catch (const scale::BadInput& problem) {
+        fmt::print(stderr, "{}\n", problem.what());
+        return kBroken;
+    }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -264,6 +275,11 @@
     measuring->add_option("--zones", module.options.zones, "10 without it")->check(CLI::Range(1, 1000));
     measuring->add_option("--requests", module.options.requests, "40000 without it")
         ->check(CLI::Range(100, 10'000'000));
+    auto* capacity = app.add_subcommand("capacity", "what each role costs at a target, beside its budget");
+    std::string targetFile = "docs/capacity-target.toml";
+    std::string slopesFile = "docs/capacity-slopes.toml";
+    capacity->add_option("--target", targetFile, "docs/capacity-target.toml without it");
+    capacity->add_option("--slopes", slopesFile, "docs/capacity-slopes.toml without it");
     auto* audit = app.add_subcommand("audit", "judges a log again");
     std::string dir;
     audit->add_option("dir", dir, "the folder of a run")->required();
@@ -303,6 +319,7 @@
             if (!guard.empty()) leases.without = {lease::guardNamed(guard)};
             return leaseIt(leases);
         }
+        if (*capacity) return printCapacity(targetFile, slopesFile);
         if (*measuring) return scale::measureSeries(module) ? kKept : kBroken;
         if (*exploring) return explore(look) ? kKept : kBroken;
         if (*audit) return judgeAgain(dir) ? kKept : kBroken;
--- /dev/null
+++ b/src/lab/scale/capacity_input.cpp
@@ -0,0 +1,165 @@
+#include "lab/scale/capacity_input.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "text/table.hpp"
+
+namespace poppyscale::lab::scale {
+namespace {
+
+constexpr double kSecondsOfDay = 86'400;
+constexpr double kLeastCount = 1;
+constexpr double kMostCount = 1e12;
+constexpr double kMostSize = 1e12;
+
+double count(text::Table& table, std::string_view key) {
+    return table.real(key, std::nullopt, kLeastCount, kMostCount);
+}
+
+// `{ value = 32, unit = "MB" }`: a bound in another unit is an error and not silently a thousand times as
+// large.
+double bounded(text::Table& table, std::string_view key, std::string_view unit) {
+    double value = 0;
+    table.one(key, true, [&](text::Table& bound) {
+        value = bound.real("value", std::nullopt, 1e-9, kMostSize);
+        const std::string told = bound.text("unit", std::nullopt);
+        if (!told.empty() && told != unit)
+            bound.problem("unit", fmt::format("is '{}' where '{}' is expected", told, unit));
+    });
+    return value;
+}
+
+Target readTargetTable(text::Table& root) {
+    Target t;
+    t.name = root.text("name", std::nullopt);
+    root.one("fleet", true, [&](text::Table& fleet) {
+        t.routers = count(fleet, "routers");
+        t.sites = count(fleet, "sites");
+        t.caches = count(fleet, "caches");
+        t.regions = count(fleet, "regions");
+        t.zones = count(fleet, "zones");
+    });
+    root.one("load", true, [&](text::Table& load) {
+        t.requestsPerSecond = count(load, "requests_per_second");
+        t.terabitsPerSecond = load.real("terabits_per_second", std::nullopt, 1e-6, 1e6);
+        t.objects = count(load, "objects");
+        t.purgesPerSecond = load.real("purges_per_second", std::nullopt);
+        t.changesPerDay = load.real("changes_per_day", std::nullopt);
+    });
+    root.one("failures", true, [&](text::Table& failures) {
+        t.failuresPerDay = failures.real("machines_per_day", std::nullopt);
+        t.restartsPerDay = failures.real("restarts_per_day", std::nullopt);
+        t.partitionHours = failures.real("partition_hours", std::nullopt, 0, 1000);
+    });
+    root.one("bounds", true, [&](text::Table& bounds) {
+        t.purgeSeconds = bounded(bounds, "purge", "s");
+        t.inForceSeconds = bounded(bounds, "in_force", "s");
+        t.routerProcessorPercent = bounded(bounds, "router_processor", "% of a core");
+        t.routerMegabytes = bounded(bounds, "router_memory", "MB");
+        t.routerKilobytesPerSecond = bounded(bounds, "router_bytes", "KB/s");
+        t.controlMachines = bounded(bounds, "control", "machines");
+    });
+    root.one("assumed", true, [&](text::Table& assumed) {
+        t.controlProcessorPercent = bounded(assumed, "control_processor", "% of a core");
+        t.descriptors = count(assumed, "descriptors");
+        t.connectionBytes = count(assumed, "connection_bytes");
+        t.purgeBytes = count(assumed, "purge_bytes");
+        t.callBytes = count(assumed, "call_bytes");
+        t.releaseHours = assumed.real("release_hours", std::nullopt, 0.01, 1000);
+        t.rackCaches = count(assumed, "rack_caches");
+    });
+    return t;
+}
+
+const KnownSlope* knownSlope(std::string_view name) {
+    const auto& all = knownSlopes();
+    const auto it = std::find_if(all.begin(), all.end(), [&](const KnownSlope& k) { return k.name == name; });
+    return it == all.end() ? nullptr : &*it;
+}
+
+std::string nonEmpty(text::Table& table, std::string_view key) {
+    const std::string value = table.text(key, std::nullopt);
+    if (table.has(key) && value.empty()) table.problem(key, "is empty");
+    return value;
+}
+
+void mustBe(text::Table& table, std::string_view key, std::string_view told, std::string_view expected) {
+    if (told.empty() || told == expected) return;
+    table.problem(key, fmt::format("is '{}' where '{}' is expected", told, expected));
+}
+
+Slope readSlope(text::Table& table) {
+    Slope s;
+    s.name = nonEmpty(table, "name");
+    s.unit = nonEmpty(table, "unit");
+    s.of = nonEmpty(table, "of");
+    s.base = table.real("base", std::nullopt, -kMostSize, kMostSize);
+    s.value = table.real("value", std::nullopt, -kMostSize, kMostSize);
+    s.spread = table.real("spread", std::nullopt, 0, 100);
+    s.largest = count(table, "largest");
+    s.run = nonEmpty(table, "run");
+    if (table.has("at_largest")) s.atLargest = table.real("at_largest", std::nullopt, -kMostSize, kMostSize);
+    s.used = table.yes("used", true);
+    const KnownSlope* known = knownSlope(s.name);
+    if (!known && !s.name.empty())
+        table.problem("name", "'" + s.name + "' is not a slope that is known here");
+    if (!known) return s;
+    mustBe(table, "unit", s.unit, known->unit);
+    mustBe(table, "of", s.of, known->of);
+    return s;
+}
+
+template <class Read>
+auto readFile(std::string_view toml, const std::string& file, Read read) {
+    text::Problems problems(file);
+    const auto parsed = text::parseToml(toml, file, problems);
+    decltype(read(std::declval<text::Table&>())) result;
+    if (parsed) {
+        text::Table root(*parsed, problems);
+        result = read(root);
+        root.finish();
+    }
+    if (!problems.none()) throw BadInput(problems.text());
+    return result;
+}
+
+}  // namespace
+
+double Target::changesPerSecond() const { return changesPerDay / kSecondsOfDay; }
+
+const std::vector<KnownSlope>& knownSlopes() {
+    static const std::vector<KnownSlope> all = {
+        {"module.request", "us", "caches", "arrival, choice and end of one request"},
+        {"module.change", "us", "caches", "one changed entry, with the survey for the next request"},
+        {"module.whole_list", "ms", "caches", "a whole list taken in, with the first survey"},
+        {"module.parse", "ms", "caches", "a whole list read from JSON"},
+        {"module.list", "bytes", "caches", "as many entries of discovery's list as JSON"},
+        {"module.list_memory", "KiB", "caches", "what the module holds after a list"},
+        {"module.used_memory", "KiB", "caches", "and after the run's requests"},
+        {"scale.control_processor", "% of a core", "routers", "discovery, at one change a second"},
+        {"scale.control_memory", "KiB", "routers", "discovery"},
+        {"scale.in_force_max", "ms", "routers", "the slowest router and change"},
+        {"scale.router_bytes", "bytes/s", "changes/s", "control bytes of one router"},
+    };
+    return all;
+}
+
+Target readTarget(std::string_view toml, const std::string& file) {
+    return readFile(toml, file, [](text::Table& root) { return readTargetTable(root); });
+}
+
+Slopes readSlopes(std::string_view toml, const std::string& file) {
+    return readFile(toml, file, [](text::Table& root) {
+        Slopes slopes;
+        root.each("slope", true, [&](text::Table& table) {
+            const Slope slope = readSlope(table);
+            const bool added = slopes.emplace(slope.name, slope).second;
+            if (!added && !slope.name.empty()) table.problem("name", "'" + slope.name + "' is there twice");
+        });
+        return slopes;
+    });
+}
+
+}  // namespace poppyscale::lab::scale
--- /dev/null
+++ b/src/lab/scale/slopes.cpp
@@ -0,0 +1,86 @@
+#include "lab/scale/slopes.hpp"
+
+#include <cmath>
+
+#include "lab/scale/series.hpp"
+
+namespace poppyscale::lab::scale {
+namespace {
+
+// Processor shares as percent, so that they read as the bounds do.
+struct Figures {
+    double inForceP50Ms = 0, inForceMaxMs = 0;
+    double routerBytes = 0, routerProcessor = 0, routerMemory = 0;
+    double controlProcessor = 0, controlMemory = 0, controlMessages = 0;
+};
+
+Figures figuresOf(const Result& result) {
+    Figures f;
+    f.inForceP50Ms = result.inForceP50Ms;
+    f.inForceMaxMs = result.inForceMaxMs;
+    f.routerBytes = result.routerBytesPerSecond;
+    f.routerProcessor = 100 * result.routerProcessorShare;
+    f.routerMemory = result.routerMemoryKib;
+    f.controlProcessor = 100 * result.controlProcessorShare;
+    f.controlMemory = result.controlMemoryKib;
+    f.controlMessages = result.controlMessagesPerSecond;
+    return f;
+}
+
+}  // namespace
+
+std::vector<double> usualSizes(Varied varied) {
+    switch (varied) {
+        case Varied::routers:
+            return {50, 100, 150, 200, 250};
+        case Varied::caches:
+            return {150, 300, 450, 600, 750};
+        case Varied::rate:
+            return {1, 2, 3, 4, 5};
+    }
+    return {};
+}
+
+const char* nameOf(Varied varied) {
+    switch (varied) {
+        case Varied::routers:
+            return "routers";
+        case Varied::caches:
+            return "caches";
+        case Varied::rate:
+            return "rate";
+    }
+    return "";
+}
+
+Options optionsAt(const SlopeSeries& series, double size, std::uint64_t seed) {
+    Options options = series.options;
+    options.seed = seed;
+    if (series.varied == Varied::routers)
+        options.hollowRouters = static_cast<int>(std::lround(size)) - options.realRouters;
+    if (series.varied == Varied::caches) options.caches = static_cast<int>(std::lround(size));
+    if (series.varied == Varied::rate) options.changesPerSecond = size;
+    if (!options.folder.empty())
+        options.folder += fmt::format("/{}-{:g}-{}", nameOf(series.varied), size, seed);
+    return options;
+}
+
+bool playSlopes(const SlopeSeries& series, const Play& play) {
+    const std::vector<Quantity<Figures>> quantities = {
+        {"control_processor", "% of a core", &Figures::controlProcessor},
+        {"control_memory", "KiB", &Figures::controlMemory},
+        {"control_messages", "1/s", &Figures::controlMessages},
+        {"in_force_p50", "ms", &Figures::inForceP50Ms},
+        {"in_force_max", "ms", &Figures::inForceMaxMs},
+        {"router_bytes", "bytes/s", &Figures::routerBytes},
+        {"router_processor", "% of a core", &Figures::routerProcessor},
+        {"router_memory", "KiB", &Figures::routerMemory},
+    };
+    const auto measure = [&](double size, std::uint64_t seed) {
+        return figuresOf(play(optionsAt(series, size, seed)));
+    };
+    const auto sizes = series.sizes.empty() ? usualSizes(series.varied) : series.sizes;
+    return runSeries<Figures>(nameOf(series.varied), sizes, series.seeds, series.factor, quantities, measure);
+}
+
+}  // namespace poppyscale::lab::scale
