poppylab scale: hollow routers before a list that changes, judged at their decisions

Need: what the control of 12,000 routers costs, measured through the real list code on one machine.

Change: src/lab/hollow holds hundreds of routers on one loop (the real watch, core and decision module; no clients). src/lab/scale has the discovery (a process of its own), the driver, the judge and the report. Each list that came into force is a record with its version, the digest of all that the module was handed and the time; the judge compares the digest with discovery's for that version, so that a lost list shows although later versions are told.

--- /dev/null
+++ b/src/lab/hollow/hollow_router.cpp
@@ -0,0 +1,68 @@
+#include "lab/hollow/hollow_router.hpp"
+
+#include <uv.h>
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+namespace poppyscale::lab::hollow {
+namespace {
+
+// As `poppyscale` bounds a call's wait, its connections and the longest list (src/program/program.cpp).
+constexpr Nanos kLeastWait = 1'000 * kMillisecond;
+constexpr Nanos kMostWait = 20'000 * kMillisecond;
+
+void ignoreLog(std::string_view /*text*/) {}
+
+std::size_t mostConnections(const protocol::Start& start) { return start.descriptors * 2 / 5; }
+
+}  // namespace
+
+ObservedCore::ObservedCore(transport::Loop& loop, transport::Pool& pool, const protocol::Start& start,
+                           int loseEveryList)
+    : routing::Core(loop, pool, start, mostConnections(start), ignoreLog), loseEveryList_(loseEveryList) {}
+
+void ObservedCore::listed(NewsKind kind, const protocol::Roster& roster) {
+    if (!roster.places.empty()) ++lists_;
+    const bool lost = loseEveryList_ > 0 && lists_ % static_cast<std::uint64_t>(loseEveryList_) == 0;
+    if (lost && !roster.places.empty()) return;
+    Core::listed(kind, roster);
+    image_.apply(kind, roster);
+    version_ = roster.version;
+}
+
+HollowRouter::HollowRouter(transport::Loop& loop, transport::Pool& pool, std::uint32_t number,
+                           protocol::Start start, int loseEveryList)
+    : loop_(loop), pool_(pool), number_(number), start_(std::move(start)), loseEveryList_(loseEveryList) {
+    this->start();
+}
+
+void HollowRouter::start() {
+    core_ = std::make_unique<ObservedCore>(loop_, pool_, start_, loseEveryList_);
+    const auto address = transport::parseAddress(start_.discovery);
+    if (!address) throw std::runtime_error("not an address and port: " + start_.discovery);
+    watch_ = std::make_unique<routing::Watch>(loop_, pool_, *core_, *address, start_.discovery, 0,
+                                              std::clamp(start_.watchFor, kLeastWait, kMostWait),
+                                              start_.terms.seed, start_.memory / 128, ignoreLog);
+    core_->askForList = [this] { watch_->want(); };
+}
+
+void HollowRouter::restart() {
+    callsBefore_ += watch_->calls();
+    watch_.reset();
+    core_.reset();
+    inForce_ = 0;
+    start();
+}
+
+std::optional<scale::ForceRecord> HollowRouter::turn() {
+    core_->turn();
+    if (core_->version() == inForce_) return std::nullopt;
+    inForce_ = core_->version();
+    if (inForce_ < highest_) ++fallen_;
+    highest_ = std::max(highest_, inForce_);
+    return scale::ForceRecord{number_, 0, inForce_, core_->digest(), static_cast<std::int64_t>(uv_hrtime())};
+}
+
+}  // namespace poppyscale::lab::hollow
--- /dev/null
+++ b/src/lab/hollow/hollow_router.hpp
@@ -0,0 +1,69 @@
+// A hollow router: the list watch, the core and the decision module of a real one, without clients.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "lab/hollow/list_image.hpp"
+#include "lab/scale/record.hpp"
+#include "protocol/discovery.hpp"
+#include "routing/core.hpp"
+#include "routing/watch.hpp"
+#include "transport/loop.hpp"
+#include "transport/pool.hpp"
+
+namespace poppyscale::lab::hollow {
+
+// The core itself, and what it was handed.
+class ObservedCore : public routing::Core {
+  public:
+    // By a known mistake every list of that count is lost; 0 for none.
+    ObservedCore(transport::Loop& loop, transport::Pool& pool, const protocol::Start& start,
+                 int loseEveryList);
+
+    void listed(NewsKind kind, const protocol::Roster& roster) override;
+
+    // Of the list that was handed over last; 0 without one.
+    std::int64_t version() const { return version_; }
+    std::uint64_t digest() const { return image_.digest(); }
+
+  private:
+    ListImage image_;
+    std::int64_t version_ = 0;
+    int loseEveryList_;
+    std::uint64_t lists_ = 0;
+};
+
+class HollowRouter {
+  public:
+    HollowRouter(transport::Loop& loop, transport::Pool& pool, std::uint32_t number, protocol::Start start,
+                 int loseEveryList);
+
+    // Forgets its list and connects anew, as a new process does.
+    void restart();
+    // What a turn of a real router's loop does. A record where another list is in force after it.
+    std::optional<scale::ForceRecord> turn();
+
+    bool hasList() const { return inForce_ > 0; }
+    std::uint64_t versionsFallen() const { return fallen_; }
+    std::uint64_t calls() const { return callsBefore_ + watch_->calls(); }
+
+  private:
+    void start();
+
+    transport::Loop& loop_;
+    transport::Pool& pool_;
+    std::uint32_t number_;
+    protocol::Start start_;
+    int loseEveryList_;
+    std::unique_ptr<ObservedCore> core_;
+    std::unique_ptr<routing::Watch> watch_;
+    std::int64_t inForce_ = 0;  // version
+    std::int64_t highest_ = 0;
+    std::uint64_t fallen_ = 0;
+    std::uint64_t callsBefore_ = 0;
+};
+
+}  // namespace poppyscale::lab::hollow
--- /dev/null
+++ b/src/lab/hollow/main.cpp
@@ -0,0 +1,238 @@
+// poppyscale_hollow: hundreds of hollow routers on one loop, for `poppylab scale`.
+//
+// Writes hollow-K.records (lists in force), hollow-K.ready once every router has a list, and on SIGTERM its
+// totals, hollow-K.json. SIGUSR1 begins the measured time, SIGUSR2 ends it.
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <exception>
+#include <fstream>
+#include <iterator>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "lab/hollow/hollow_router.hpp"
+#include "lab/hollow/socket_meter.hpp"
+#include "lab/scale/usage.hpp"
+
+namespace {
+
+using namespace poppyscale;
+using lab::hollow::HollowRouter;
+using transport::Loop;
+
+constexpr Nanos kSecond = 1'000 * kMillisecond;
+constexpr int kLoseEveryList = 50;  // by the known mistake "apply"
+constexpr std::size_t kPoolBuffers = 4'096;
+
+struct Options {
+    std::string
+        configuration;  // of a router, as poppyscale reads it; name, seed, zone and address are set here
+    std::string folder;
+    int index = 0;
+    int first = 0;
+    int routers = 1;
+    int zones = 1;
+    std::uint64_t seed = 1;
+    std::vector<std::string> upstreams;  // discovery or distributors, ADDRESS:PORT
+    std::vector<std::string> restarts;   // "AT_MS:PART"
+    std::string without;
+};
+
+struct Restart {
+    Nanos at = 0;  // since the measured time began
+    double part = 0;
+};
+
+Restart restartOf(const std::string& text) {
+    double ms = 0;
+    double part = 0;
+    if (std::sscanf(text.c_str(), "%lf:%lf", &ms, &part) != 2)
+        throw std::runtime_error("a restart is AT_MS:PART, not " + text);
+    return {static_cast<Nanos>(ms * kMillisecond), part};
+}
+
+class Hollow {
+  public:
+    explicit Hollow(const Options& options);
+    void run() { loop_.run(); }
+
+  private:
+    protocol::Start startOf(int router, const nlohmann::json& configuration) const;
+    void turn();
+    void begin();
+    void end();
+    void finish();
+    void eachSecond();
+    void restartDue();
+    void setRestartAlarm();
+    std::uint64_t calls() const;
+    std::string pathOf(const char* what) const {
+        return fmt::format("{}/hollow-{}.{}", options_.folder, options_.index, what);
+    }
+
+    Options options_;
+    Loop loop_;
+    transport::Pool pool_{kPoolBuffers};
+    std::vector<std::unique_ptr<HollowRouter>> routers_;
+    std::vector<Restart> restarts_;  // the next one last
+    std::mt19937 chance_;
+    std::ofstream records_;
+    lab::hollow::SocketMeter meter_;
+    bool ready_ = false;
+    bool measuring_ = false;
+    Nanos beganAt_ = 0;
+    Nanos measured_ = 0;
+    double processorAtBegin_ = 0;
+    double processorUsed_ = 0;
+    double memoryBefore_ = 0;
+    std::uint64_t callsAtBegin_ = 0;
+    std::uint64_t callsMeasured_ = 0;
+    transport::Alarm secondAlarm_;
+    transport::Alarm restartAlarm_;
+    transport::Signal beginSignal_;
+    transport::Signal endSignal_;
+    transport::Signal finishSignal_;
+};
+
+Hollow::Hollow(const Options& options)
+    : options_(options),
+      chance_(
+          static_cast<std::mt19937::result_type>(options.seed + static_cast<std::uint64_t>(options.index))),
+      records_(pathOf("records"), std::ios::binary),
+      secondAlarm_(loop_, [this] { eachSecond(); }),
+      restartAlarm_(loop_, [this] { restartDue(); }),
+      beginSignal_(loop_, SIGUSR1, [this] { begin(); }),
+      endSignal_(loop_, SIGUSR2, [this] { end(); }),
+      finishSignal_(loop_, SIGTERM, [this] { finish(); }) {
+    std::ifstream file(options.configuration);
+    const auto configuration = nlohmann::json::parse(file);
+    for (const std::string& text : options.restarts) restarts_.push_back(restartOf(text));
+    std::sort(restarts_.begin(), restarts_.end(),
+              [](const Restart& a, const Restart& b) { return a.at > b.at; });
+    const int loseEveryList = options.without == "apply" ? kLoseEveryList : 0;
+    memoryBefore_ = lab::scale::residentKibOf(::getpid());
+    for (int i = 0; i < options.routers; ++i) {
+        const int router = options.first + i;
+        routers_.push_back(std::make_unique<HollowRouter>(loop_, pool_, static_cast<std::uint32_t>(router),
+                                                          startOf(router, configuration), loseEveryList));
+    }
+    loop_.eachTurn([this] { turn(); });
+}
+
+protocol::Start Hollow::startOf(int router, const nlohmann::json& configuration) const {
+    nlohmann::json own = configuration;
+    own["name"] = fmt::format("hollow-{}", router);
+    own["seed"] = fmt::format("{:016x}", options_.seed * 1'000'003 + static_cast<std::uint64_t>(router));
+    own["discovery"] = options_.upstreams[static_cast<std::size_t>(router) % options_.upstreams.size()];
+    own["settings"]["myZone"] = fmt::format("zone-{}", router % options_.zones);
+    return protocol::readStart(own.dump());
+}
+
+void Hollow::turn() {
+    for (const auto& router : routers_) {
+        const auto record = router->turn();
+        if (record) records_.write(reinterpret_cast<const char*>(&*record), sizeof *record);
+    }
+    if (ready_) return;
+    ready_ = std::all_of(routers_.begin(), routers_.end(), [](const auto& r) { return r->hasList(); });
+    if (ready_) std::ofstream(pathOf("ready")) << routers_.size() << '\n';
+}
+
+std::uint64_t Hollow::calls() const {
+    std::uint64_t sum = 0;
+    for (const auto& router : routers_) sum += router->calls();
+    return sum;
+}
+
+void Hollow::begin() {
+    beganAt_ = Loop::now();
+    measuring_ = true;
+    callsAtBegin_ = calls();
+    meter_.begin(beganAt_);
+    processorAtBegin_ = lab::scale::ownProcessorSeconds();
+    secondAlarm_.set(beganAt_ + kSecond);
+    setRestartAlarm();
+}
+
+void Hollow::eachSecond() {
+    secondAlarm_.set(Loop::now() + kSecond);
+    meter_.look(Loop::now());
+}
+
+void Hollow::setRestartAlarm() {
+    if (!restarts_.empty()) restartAlarm_.set(beganAt_ + restarts_.back().at);
+}
+
+void Hollow::restartDue() {
+    const auto count = static_cast<std::size_t>(restarts_.back().part * static_cast<double>(routers_.size()));
+    restarts_.pop_back();
+    std::vector<std::size_t> order(routers_.size());
+    for (std::size_t i = 0; i < order.size(); ++i) order[i] = i;
+    std::shuffle(order.begin(), order.end(), chance_);
+    for (std::size_t i = 0; i < std::max<std::size_t>(count, 1); ++i) routers_[order[i]]->restart();
+    setRestartAlarm();
+}
+
+void Hollow::end() {
+    if (!measuring_) return;
+    measuring_ = false;
+    const Nanos now = Loop::now();
+    processorUsed_ = lab::scale::ownProcessorSeconds() - processorAtBegin_;
+    measured_ = now - beganAt_;
+    meter_.look(now);
+    callsMeasured_ = calls() - callsAtBegin_;
+    secondAlarm_.clear();
+    restartAlarm_.clear();
+}
+
+void Hollow::finish() {
+    end();
+    records_.flush();
+    std::uint64_t fallen = 0;
+    for (const auto& router : routers_) fallen += router->versionsFallen();
+    const nlohmann::json totals{{"routers", routers_.size()},
+                                {"seconds", static_cast<double>(measured_) / 1e9},
+                                {"processor_seconds", processorUsed_},
+                                {"memory_kib", lab::scale::residentKibOf(::getpid())},
+                                {"memory_before_kib", memoryBefore_},
+                                {"bytes_in", meter_.bytesIn()},
+                                {"bytes_out", meter_.bytesOut()},
+                                {"peak_bytes_per_second", meter_.peakBytesPerSecond()},
+                                {"calls", callsMeasured_},
+                                {"versions_fallen", fallen}};
+    std::ofstream(pathOf("json")) << totals.dump(1) << '\n';
+    loop_.stop();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    CLI::App app{"poppyscale_hollow: routers without clients, for poppylab scale"};
+    Options options;
+    app.add_option("--config", options.configuration, "of a router, as poppyscale reads it")->required();
+    app.add_option("--folder", options.folder, "for what is written")->required();
+    app.add_option("--index", options.index, "of this process");
+    app.add_option("--first", options.first, "number of its first router");
+    app.add_option("--routers", options.routers, "how many")->check(CLI::Range(1, 10'000));
+    app.add_option("--zones", options.zones, "that they are spread over")->check(CLI::Range(1, 1'000));
+    app.add_option("--seed", options.seed, "everything drawn follows from it");
+    app.add_option("--upstream", options.upstreams, "discovery or distributors, ADDRESS:PORT")->required();
+    app.add_option("--restart", options.restarts, "AT_MS:PART of the routers");
+    app.add_option("--without", options.without, "a known mistake: apply")->check(CLI::IsMember({"apply"}));
+    CLI11_PARSE(app, argc, argv);
+    try {
+        Hollow(options).run();
+    } catch (const std::exception& problem) {
+        fmt::print(stderr, "poppyscale_hollow: {}\n", problem.what());
+        return 1;
+    }
+    return 0;
+}
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -25,6 +25,7 @@
 #include "lab/report/experiment.hpp"
 #include "lab/report/figures.hpp"
 #include "lab/report/judge.hpp"
+#include "lab/scale/command.hpp"
 #include "lab/sim/leases.hpp"
 #include "lab/sim/roll.hpp"
 #include "lab/sim/sim.hpp"
@@ -253,6 +254,7 @@
     leasing->add_option("--without", guard, "a guard that is left out, and has to be missed");
     auto* audit = app.add_subcommand("audit", "judges a log again");
     std::string dir;
+    scale::Command scaling(app);
     audit->add_option("dir", dir, "the folder of a run")->required();
     try {
         app.parse(argc, argv);
@@ -260,6 +262,7 @@
         return app.exit(problem) == 0 ? kKept : kUsage;
     }
     try {
+        if (const auto code = scaling.run()) return *code;
         if (*comparing) {
             std::vector<Scenario> scenarios;
             for (const auto& file : files)
--- /dev/null
+++ b/src/lab/scale/in_force.cpp
@@ -0,0 +1,81 @@
+#include "lab/scale/in_force.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <fstream>
+#include <stdexcept>
+#include <utility>
+
+namespace poppyscale::lab::scale {
+
+std::vector<Change> readChanges(const std::string& path) {
+    std::ifstream file(path);
+    std::vector<Change> versions;
+    Change change;
+    std::string kind;
+    while (file >> change.version >> change.at >> change.digest >> kind) versions.push_back(change);
+    if (versions.empty()) throw std::runtime_error("discovery noted no version in " + path);
+    return versions;
+}
+
+std::vector<std::vector<ForceRecord>> readRecords(const std::string& path, std::uint32_t first, int routers) {
+    std::ifstream file(path, std::ios::binary);
+    std::vector<std::vector<ForceRecord>> all(static_cast<std::size_t>(routers));
+    ForceRecord record;
+    while (file.read(reinterpret_cast<char*>(&record), sizeof record)) {
+        const std::uint32_t index = record.router - first;
+        if (index >= all.size()) throw std::runtime_error("a record of an unknown router in " + path);
+        all[index].push_back(record);
+    }
+    return all;
+}
+
+InForce::InForce(std::vector<Change> versions) : versions_(std::move(versions)) {
+    for (std::size_t i = 1; i < versions_.size(); ++i) changes_.push_back({versions_[i].at, {}, 0});
+}
+
+bool InForce::isKnown(const ForceRecord& record) const {
+    if (record.version < 1 || record.version > static_cast<std::int64_t>(versions_.size())) return false;
+    const Change& version = versions_[static_cast<std::size_t>(record.version - 1)];
+    return record.digest == 0 || record.digest == version.digest;
+}
+
+void InForce::add(const std::vector<ForceRecord>& router) {
+    std::vector<std::int64_t> since(changes_.size(), 0);  // when each change came into force
+    std::size_t inForce = 0;                              // changes, the first ones
+    std::int64_t highest = 0;
+    for (const ForceRecord& record : router) {
+        if (record.version < highest) ++stale_;
+        highest = std::max(highest, record.version);
+        if (!isKnown(record)) continue;
+        const auto holds = static_cast<std::size_t>(record.version - 1);
+        // An older list again: what it lacks is in force from a later record on.
+        for (std::size_t i = holds; i < inForce; ++i) since[i] = 0;
+        for (std::size_t i = inForce; i < holds; ++i) since[i] = record.at;
+        inForce = holds;
+    }
+    for (std::size_t i = 0; i < changes_.size(); ++i) {
+        if (since[i] == 0) {
+            ++lost_;
+            ++changes_[i].lost;
+            continue;
+        }
+        ++delivered_;
+        const auto nanos = static_cast<double>(since[i] - changes_[i].at);
+        changes_[i].milliseconds.push_back(static_cast<float>(nanos / 1e6));
+    }
+}
+
+double InForce::quantileMs(double part) const {
+    std::vector<float> all;
+    all.reserve(delivered_);
+    for (const PerChange& change : changes_)
+        all.insert(all.end(), change.milliseconds.begin(), change.milliseconds.end());
+    if (all.empty()) return 0;
+    const auto rank = static_cast<std::size_t>(std::ceil(part * static_cast<double>(all.size())));
+    const std::size_t index = std::min(std::max<std::size_t>(rank, 1), all.size()) - 1;
+    std::nth_element(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(index), all.end());
+    return static_cast<double>(all[index]);
+}
+
+}  // namespace poppyscale::lab::scale
--- a/src/lab/scale/scale.hpp
+++ b/src/lab/scale/scale.hpp
@@ -3,7 +3,9 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "logic.hpp"
@@ -49,6 +51,8 @@
     std::string folder;  // for the run's files; kept
     std::vector<Event> events;
     Bounds bounds;
+    std::string without;  // a known mistake that has to be found: "apply" or "order"
+    std::function<void(std::string_view phase, Nanos at)> progress;  // about every second
 };
 
 // What was measured; means over the measured time unless a name says otherwise.
@@ -68,12 +72,24 @@
     std::uint64_t stale = 0;              // versions that fell at a router
     std::uint64_t lost = 0;               // pairs of a router and a change that never came into force
     std::vector<std::string> broken;      // bounds that were not kept, each in words
+
+    // Beside the above, where they are of hollow routers if there are any: what real routers cost.
+    double realBytesPerSecond = 0;
+    double realMessagesPerSecond = 0;  // answers to one router
+    double realProcessorShare = 0;
+    double realMemoryKib = 0;
+    double routerMessagesPerSecond = 0;  // calls of one hollow router
+    double inForceThroughLossMaxMs = 0;  // of changes made while a distributor was lost
+    double measuredSeconds = 0;
 };
 
-// Throws std::runtime_error, before anything is started, for what the machine can't hold.
+// Throws std::runtime_error, before anything is started, for what the machine can't hold and for what is not
+// built. Starts poppylab, poppyscale_hollow, poppyscale and poppyscale_distributor of the caller's own
+// folder.
 Result play(const Options& options);
 
 // `name=value ...`, the last line of a run.
 std::string lineOf(const Result& result);
+std::string jsonOf(const Result& result);
 
 }  // namespace poppyscale::lab::scale
--- /dev/null
+++ b/src/lab/scale/scenario.cpp
@@ -0,0 +1,69 @@
+#include "lab/scale/scenario.hpp"
+
+#include <fstream>
+#include <iterator>
+
+#include "lab/model/scenario.hpp"
+#include "text/table.hpp"
+
+namespace poppyscale::lab::scale {
+namespace {
+
+using text::Table;
+
+const text::Words<EventKind>& eventNames() {
+    static const text::Words<EventKind> names{{"kill_distributor", EventKind::killDistributor},
+                                              {"stop_distributor", EventKind::stopDistributor},
+                                              {"restart_routers", EventKind::restartRouters},
+                                              {"cut_zone", EventKind::cutZone},
+                                              {"slow_discovery", EventKind::slowDiscovery},
+                                              {"lose_rack", EventKind::loseRack},
+                                              {"slow_reader", EventKind::slowReader}};
+    return names;
+}
+
+void readEvent(Table& table, ScaleScenario& scenario) {
+    Event event;
+    event.kind = table.word("kind", eventNames(), std::optional<EventKind>{});
+    event.at = table.millis("at_ms", std::nullopt);
+    const bool hasLength = event.kind != EventKind::restartRouters;
+    if (hasLength) event.length = table.millis("length_ms", std::nullopt);
+    if (event.kind == EventKind::slowDiscovery) event.delay = table.millis("delay_ms", std::nullopt);
+    if (event.kind == EventKind::restartRouters) event.part = table.part("part", 0.1);
+    scenario.events.push_back(event);
+}
+
+void readBounds(Table& table, Bounds& bounds) {
+    bounds.inForce = table.millis("in_force_ms", 0.0);
+    bounds.inForceThroughLoss = table.millis("in_force_through_loss_ms", 0.0);
+    bounds.routerBytesPerSecond = table.real("router_bytes_per_second", 0.0);
+    bounds.routerProcessorShare = table.part("router_cpu_share", 0.0);
+    bounds.routerMemoryKib = table.real("router_memory_kib", 0.0);
+}
+
+}  // namespace
+
+ScaleScenario readScaleScenario(const std::string& path) {
+    std::ifstream file(path, std::ios::binary);
+    if (!file) throw BadScenario(path + ": can't be read");
+    const std::string content{std::istreambuf_iterator<char>(file), {}};
+    text::Problems problems(path);
+    ScaleScenario scenario;
+    const auto parsed = text::parseToml(content, path, problems);
+    if (parsed) {
+        Table table(*parsed, problems);
+        table.one("bounds", false, [&](Table& bounds) { readBounds(bounds, scenario.bounds); });
+        table.each("events", false, [&](Table& event) { readEvent(event, scenario); });
+        table.finish();
+    }
+    if (!problems.none()) throw BadScenario(problems.text());
+    return scenario;
+}
+
+std::string_view nameOf(EventKind kind) {
+    for (const auto& [name, value] : eventNames())
+        if (value == kind) return name;
+    return "";
+}
+
+}  // namespace poppyscale::lab::scale
--- /dev/null
+++ b/src/lab/scale/usage.cpp
@@ -0,0 +1,45 @@
+#include "lab/scale/usage.hpp"
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <string>
+#include <system_error>
+
+namespace poppyscale::lab::scale {
+
+double ownProcessorSeconds() {
+    rusage used{};
+    getrusage(RUSAGE_SELF, &used);
+    const auto seconds = [](const timeval& time) {
+        return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / 1e6;
+    };
+    return seconds(used.ru_utime) + seconds(used.ru_stime);
+}
+
+double processorSecondsOf(pid_t pid) {
+    // The scheduler's own account, in ns: /proc/PID/stat counts in hundredths of a second, which is as much
+    // as a quiet router uses in one.
+    std::error_code problem;
+    double nanos = 0;
+    for (const auto& thread :
+         std::filesystem::directory_iterator("/proc/" + std::to_string(pid) + "/task", problem)) {
+        std::ifstream file(thread.path() / "schedstat");
+        double running = 0;
+        file >> running;
+        nanos += running;
+    }
+    return nanos / 1e9;
+}
+
+double residentKibOf(pid_t pid) {
+    std::ifstream file("/proc/" + std::to_string(pid) + "/statm");
+    double all = 0;
+    double resident = 0;
+    file >> all >> resident;
+    return resident * static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1024;
+}
+
+}  // namespace poppyscale::lab::scale
--- /dev/null
+++ b/src/lab/scale/usage.hpp
@@ -0,0 +1,15 @@
+// What this process, or one that it started, has used of the machine.
+#pragma once
+
+#include <sys/types.h>
+
+namespace poppyscale::lab::scale {
+
+// User and system time of this process so far, in seconds.
+double ownProcessorSeconds();
+// The same of another process, over all its threads; 0 once it has ended.
+double processorSecondsOf(pid_t pid);
+// Resident memory of a process in KiB; 0 once it has ended.
+double residentKibOf(pid_t pid);
+
+}  // namespace poppyscale::lab::scale
