--- a/src/lab/scale/capacity_input.cpp
+++ b/src/lab/scale/capacity_input.cpp
@@ -140,8 +140,10 @@
         {"module.used_memory", "KiB", "caches", "and after the run's requests"},
         {"scale.control_processor", "% of a core", "routers", "discovery, at one change a second"},
         {"scale.control_memory", "KiB", "routers", "discovery"},
-        {"scale.in_force_max", "ms", "routers", "the slowest router and change"},
         {"scale.router_bytes", "bytes/s", "changes/s", "control bytes of one router"},
+        {"scale.router_processor", "% of a core", "caches",
+         "one router without clients, at one change a second"},
+        {"scale.router_memory", "KiB", "caches", "one router without clients"},
     };
     return all;
 }
