--- a/src/lab/scale/capacity.cpp
+++ b/src/lab/scale/capacity.cpp
@@ -57,7 +57,7 @@
     };
 
     Row& add(const char* situation, const char* role, std::string quantity, Estimate estimate,
-             const char* unit, std::string formula, Budget budget, Mechanism mechanism) {
+             const char* unit, std::string formula, const Budget& budget, Mechanism mechanism) {
         Row row;
         row.situation = situation;
         row.role = role;
@@ -66,18 +66,18 @@
         row.unit = unit;
         row.formula = std::move(formula);
         row.budget = budget.value;
-        row.budgetText = std::move(budget.text);
+        row.budgetText = budget.text;
         row.mechanism = mechanism;
         rows_.push_back(std::move(row));
         return rows_.back();
     }
     // What the program can't do at all.
-    void addNoPath(const char* situation, const char* role, const char* quantity, Budget budget,
+    void addNoPath(const char* situation, const char* role, const char* quantity, const Budget& budget,
                    Mechanism mechanism) {
         Estimate nothing;
         nothing.missing = "no path";
-        add(situation, role, quantity, nothing, "s", "no message carries it", std::move(budget), mechanism)
-            .noPath = true;
+        add(situation, role, quantity, nothing, "s", "no message carries it", budget, mechanism).noPath =
+            true;
     }
 
     Estimate slope(std::string_view name, double count) const { return estimate(slopes_, name, count); }
