A decider chooses among several sources of the server list

Cause: a router knows one address to ask for its list. With several processes between discovery and the routers it needs to choose: where it begins, what it asks after a failure and when, and which versions it believes.

Change: src/sources/, free of I/O.

--- /dev/null
+++ b/src/sources/selector.cpp
@@ -0,0 +1,91 @@
+#include "sources/selector.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <numeric>
+#include <utility>
+
+namespace poppyscale::sources {
+
+SourceSelector::SourceSelector(std::size_t count, std::uint64_t seed, std::set<Safeguard> without)
+    : without_(std::move(without)), random_(seed), sources_(count), order_(count) {
+    assert(count >= 1 && count <= kMostSources);
+    std::iota(order_.begin(), order_.end(), std::size_t{0});
+    if (has(Safeguard::spread)) std::shuffle(order_.begin(), order_.end(), random_);
+}
+
+Nanos SourceSelector::firstTimeout() const {
+    const auto attempts = static_cast<Nanos>(count());
+    const Nanos pauses = kLossJitter + (attempts - 1) * kRoundJitter;
+    return (kRecoveryBound - pauses) / attempts;
+}
+
+Nanos SourceSelector::attemptTimeout() const {
+    const std::size_t round = failures_ == 0 ? 0 : (failures_ - 1) / count();
+    Nanos timeout = firstTimeout();
+    for (std::size_t i = 0; i < round && timeout < kLongestTimeout; ++i) timeout *= 2;
+    return std::min(timeout, kLongestTimeout);
+}
+
+void SourceSelector::resumeAt(std::size_t source) {
+    const auto it = std::find(order_.begin(), order_.end(), source);
+    position_ = static_cast<std::size_t>(it - order_.begin());
+    confirmed_ = true;
+}
+
+Attempt SourceSelector::failed(Nanos now) {
+    Source& lost = sources_[current()];
+    ++failures_;
+    ++lost.failures;
+    lost.retryAt = now + backoffAfter(lost.failures);
+    confirmed_ = false;
+    if (isFirstRound()) {
+        position_ = (position_ + 1) % count();
+        return {current(), now + pauseOfFirstRound()};
+    }
+    moveToEarliestRetry();
+    return {current(), std::max(now, sources_[current()].retryAt)};
+}
+
+void SourceSelector::answered() {
+    failures_ = 0;
+    for (Source& source : sources_) source = Source{};
+    confirmed_ = true;
+    if (!has(Safeguard::stickiness)) position_ = 0;
+}
+
+ListVerdict SourceSelector::judge(std::int64_t offered, std::int64_t known) {
+    if (offered >= known) return ListVerdict::usable;
+    if (!has(Safeguard::versionGuard)) return ListVerdict::allOlder;
+    sources_[current()].toldOlder = true;
+    const bool all =
+        std::all_of(sources_.begin(), sources_.end(), [](const Source& source) { return source.toldOlder; });
+    return all ? ListVerdict::allOlder : ListVerdict::older;
+}
+
+Nanos SourceSelector::draw(Nanos least, Nanos most) {
+    if (!has(Safeguard::jitter)) return most;
+    return std::uniform_int_distribution<Nanos>(least, most)(random_);
+}
+
+Nanos SourceSelector::backoffAfter(int failures) {
+    if (!has(Safeguard::backoff)) return 0;
+    Nanos longest = kFirstBackoff;
+    for (int i = 1; i < failures && longest < kLongestBackoff; ++i) longest *= 2;
+    return draw(longest / 2, longest);
+}
+
+Nanos SourceSelector::pauseOfFirstRound() {
+    if (!has(Safeguard::bound)) return backoffAfter(static_cast<int>(failures_));
+    return draw(0, failures_ == 1 ? kLossJitter : kRoundJitter);
+}
+
+void SourceSelector::moveToEarliestRetry() {
+    const auto earlier = [this](std::size_t a, std::size_t b) {
+        return sources_[a].retryAt < sources_[b].retryAt;
+    };
+    const auto next = std::min_element(order_.begin(), order_.end(), earlier);
+    position_ = static_cast<std::size_t>(next - order_.begin());
+}
+
+}  // namespace poppyscale::sources
