A router asks several distributors for its list, and moves to another one on failure

Cause: the watch had one address (src/routing/watch.cpp, Watch::call), and after a failure the module's pause placed the next call at the same one.

The watch takes a list of sources; with more than one, a failure is told to the module as before, and the selector places the next call at another source, by the known version. A source that was just chosen is asked without a wait, so that a silent one is noticed by the selector's timeout; the wait among several is at most 2 s, so that the one in use is noticed too. Moves are logged, 20 in a minute at most; status tells the source in use. A reload moves the watch, and keeps the connection where the source in use is among the new ones. With one source nothing is different.

--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -25,8 +25,14 @@
     fmt::print("{} commands open, {} clients, {} connections to caches and origin, {} reloads{}\n\n",
                s["open"].get<int>(), s["clients"].get<int>(), s["links"].get<int>(), s["reloads"].get<int>(),
                s["upgrading"].get<bool>() ? ", an upgrade is under way" : "");
-    // One of before knows no such key.
-    if (const auto trouble = s.value("/list/trouble"_json_pointer, std::string()); !trouble.empty())
+    // One of before knows no such keys.
+    const auto trouble = s.value("/list/trouble"_json_pointer, std::string());
+    const auto source = s.value("/list/source"_json_pointer, std::string());
+    if (!source.empty())
+        fmt::print("the list is asked of {}, one of {}; last heard of {:.1f} s ago{}{}\n\n", source,
+                   s.value("/list/sources"_json_pointer, 1), s.value("/list/age_ms"_json_pointer, 0.0) / 1e3,
+                   trouble.empty() ? "" : "; it can't be had: ", trouble);
+    else if (!trouble.empty())
         fmt::print("the list can't be had from discovery: {}; last heard of {:.1f} s ago\n\n", trouble,
                    s.value("/list/age_ms"_json_pointer, 0.0) / 1e3);
     fmt::print("{}", s["described"].get<std::string>());
--- a/src/operator/plan.cpp
+++ b/src/operator/plan.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <fstream>
@@ -9,6 +10,7 @@
 #include <set>
 
 #include "protocol/number.hpp"
+#include "sources/selector.hpp"
 
 namespace poppyscale::op {
 namespace {
@@ -82,7 +84,22 @@
     start.known.places.push_back(std::move(place));
 }
 
-void readDeployment(Table& t, protocol::Start& start) {
+std::vector<std::string> readDistributors(Table& t) {
+    const auto addresses = t.texts("addresses");
+    if (addresses.empty() && t.has("addresses")) t.problem("addresses", "names none");
+    if (addresses.size() > sources::kMostSources)
+        t.problem("addresses", fmt::format("names more than {}", sources::kMostSources));
+    std::set<std::string> named;
+    for (const auto& one : addresses) {
+        if (!isAddress(one))
+            t.problem("addresses", fmt::format("'{}' is not an IPv4 address and port", one));
+        else if (!named.insert(one).second)
+            t.problem("addresses", fmt::format("names '{}' twice", one));
+    }
+    return addresses;
+}
+
+void readDeployment(Table& t, protocol::Start& start, bool distributed) {
     Terms& terms = start.terms;
     t.one("instance", true, [&](Table& i) {
         start.name = i.text("name", std::nullopt);
@@ -127,7 +144,7 @@
             if (other.name == customer.name) c.problem("name", "is another customer's too");
         terms.customers.push_back(std::move(customer));
     });
-    const bool discovered = !start.discovery.empty();
+    const bool discovered = distributed || !start.discovery.empty();
     terms.listOnRequest = discovered;
     t.each("servers", !discovered, [&](Table& s) { readServer(s, start); });
     start.known.full = true;
@@ -204,8 +221,10 @@
     t.one("drain", false, [&](Table& d) { plan.drainWithin = d.millis("within_ms", 0.0); });
     const char* const deployment[] = {"instance", "limits",    "caches", "cold",
                                       "verbs",    "customers", "servers"};
+    if (t.has("distributors"))
+        t.one("distributors", true, [&](Table& d) { plan.distributors = readDistributors(d); });
     if (!platform) {
-        readDeployment(t, plan.start.emplace());
+        readDeployment(t, plan.start.emplace(), t.has("distributors"));
     } else {
         // Two places that say one thing would in time say two things.
         for (const char* key : deployment)
@@ -279,6 +298,8 @@
     line("name", start.name);
     line("listen", start.listen);
     line("discovery", start.discovery.empty() ? "none, the list is in the file" : start.discovery);
+    if (!plan.distributors.empty())
+        line("distributors", fmt::format("{}", fmt::join(plan.distributors, " ")));
     line("console", start.console.empty() ? "off" : start.console);
     line("memory_mb", start.memory / 1'000'000);
     line("descriptors", start.descriptors);
--- a/src/operator/plan.hpp
+++ b/src/operator/plan.hpp
@@ -26,6 +26,8 @@
 struct Plan {
     std::string admin;  // path of a Unix socket; none if empty
     LogPlan log;
+    // Asked for the list, as discovery is; discovery itself if empty.
+    std::vector<std::string> distributors;
     Nanos drainWithin = 0;  // 0: as long as the longest verb's clients wait
     // Set where the file describes the deployment. Without a place for discovery its list is in `known`.
     std::optional<protocol::Start> start;
--- a/src/program/program.cpp
+++ b/src/program/program.cpp
@@ -85,12 +85,15 @@
                 ? wanted_.makeCore(loop_, pool_, start, mostLinks(start), decisions)
                 : std::make_unique<routing::Core>(loop_, pool_, start, mostLinks(start), decisions);
     clients_.emplace(loop_, pool_, *core_, mostClients(start), start.memory / 16, 2 * start.idle);
-    if (!start.discovery.empty()) {
+    if (auto sources = sourcesOf(told_); !sources.empty()) {
         // What discovery holds back for a call that waits counts as told soon after; the shorter the wait,
         // the sooner a silent discovery is noticed.
         const Nanos wait = std::clamp(start.watchFor, kLeastWait, kMostWait);
-        watch_.emplace(loop_, pool_, *core_, discoveryOf(start), start.discovery, start.known.version, wait,
-                       start.terms.seed, start.memory / 128, log("discovery", Level::warning));
+        // Routers may share a seed where nobody sets one; they may not share their choice of a source.
+        const std::uint64_t seed =
+            sources.size() > 1 ? start.terms.seed ^ std::hash<std::string>{}(start.name) : start.terms.seed;
+        watch_.emplace(loop_, pool_, *core_, std::move(sources), start.known.version, wait, seed,
+                       start.memory / 128, log("discovery", Level::warning));
         core_->askForList = [this] { watch_->want(); };
     }
     next_.emplace(loop_, [this] { enter(state_ == State::leaving ? State::draining : State::done); });
@@ -149,8 +152,13 @@
         say("life", Level::error, fmt::format("a later process won't find this one: {}", denied));
 }
 
-transport::Address Program::discoveryOf(const protocol::Start& start) const {
-    return addressOf(start.discovery, "discovery");
+std::vector<routing::DiscoveryAddress> Program::sourcesOf(const Told& told) const {
+    std::vector<routing::DiscoveryAddress> sources;
+    for (const std::string& one : told.plan.distributors)
+        sources.push_back({addressOf(one, "distributor"), one});
+    if (sources.empty() && !told.start.discovery.empty())
+        sources.push_back({addressOf(told.start.discovery, "discovery"), told.start.discovery});
+    return sources;
 }
 
 Nanos Program::lastFor() const {
@@ -193,10 +201,14 @@
     try {
         notify("RELOADING=1");
         Told fresh = wanted_.read();
-        if (!fresh.start.discovery.empty()) discoveryOf(fresh.start);
-        if (watch_.has_value() == fresh.start.discovery.empty())
+        if (watch_.has_value() == sourcesOf(fresh).empty())
             throw protocol::Malformed("whether there is a discovery waits for a start");
-        const auto difference = op::differenceOf(told_.start, fresh.start);
+        auto difference = op::differenceOf(told_.start, fresh.start);
+        const auto& before = told_.plan.distributors;
+        const auto& after = fresh.plan.distributors;
+        if (before != after)
+            difference.live.push_back(fmt::format("distributors: {} before, {} now", fmt::join(before, " "),
+                                                  fmt::join(after, " ")));
         std::string words;
         for (const auto& line : difference.live) words += "; " + line;
         for (const auto& line : difference.waits) words += "; " + line;
@@ -240,7 +252,7 @@
     core_->changed(next);
     clients_->patience(2 * next.idle);
     if (watch_)
-        watch_->moveTo(discoveryOf(next), next.discovery);
+        watch_->moveTo(sourcesOf(fresh));
     else
         core_->listed(NewsKind::whole, next.known);
     told_ = std::move(fresh);
@@ -415,6 +427,10 @@
     if (watch_)
         list = {{"age_ms", millis(transport::Loop::now() - watch_->heardAt())},
                 {"trouble", watch_->trouble()}};
+    if (watch_ && !told_.plan.distributors.empty()) {
+        list["source"] = watch_->source();
+        list["sources"] = watch_->sourceCount();
+    }
     return {{"name", told_.start.name},
             {"list", std::move(list)},
             {"state", stateName()},
--- a/src/program/program.hpp
+++ b/src/program/program.hpp
@@ -68,7 +68,8 @@
     void say(std::string_view part, op::Level level, std::string_view text) {
         logger_.line(part, level, text);
     }
-    transport::Address discoveryOf(const protocol::Start& start) const;
+    // Whom to ask for the list: the distributors where these are set, else discovery, if there is one.
+    std::vector<routing::DiscoveryAddress> sourcesOf(const Told& told) const;
     Nanos lastFor() const;
 
     console::Reply answer(const console::Call& call);
--- a/src/routing/watch.cpp
+++ b/src/routing/watch.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace poppyscale::routing {
@@ -14,33 +15,70 @@
 constexpr Nanos kAnswer = 2'000 * kMillisecond;
 // A discovery that a cut-off machine hides never comes up; after a move it has seconds, not a watch's wait.
 constexpr Nanos kConnecting = 1'000 * kMillisecond;
+// Among several sources a silent one is noticed by the end of a call's wait: kept short, as there are others.
+constexpr Nanos kWaitAmongSeveral = 2'000 * kMillisecond;
+// Moves from source to source are logged up to a bound.
+constexpr Nanos kLogWindow = 60'000 * kMillisecond;
+constexpr int kMostLoggedMoves = 20;
+
+bool isSameSource(const DiscoveryAddress& a, const DiscoveryAddress& b) {
+    return transport::sameAddress(a.address, b.address);
+}
 
 }  // namespace
 
-Watch::Watch(transport::Loop& loop, transport::Pool& pool, Core& core, transport::Address at,
-             std::string host, std::int64_t version, Nanos wait, std::uint64_t seed, std::size_t longestList,
-             Log log)
+Watch::Watch(transport::Loop& loop, transport::Pool& pool, Core& core, std::vector<DiscoveryAddress> sources,
+             std::int64_t version, Nanos wait, std::uint64_t seed, std::size_t longestList, Log log)
     : loop_(loop),
       pool_(pool),
       core_(core),
-      at_(at),
-      host_(std::move(host)),
       version_(version),
       wait_(wait),
+      seed_(seed),
       chance_(static_cast<std::mt19937::result_type>(seed ^ seed >> 32)),
       log_(std::move(log)),
       heardAt_(transport::Loop::now()),
       answer_(longestList),
-      limit_(loop, [this] { silent(); }) {}
+      limit_(loop, [this] { silent(); }) {
+    setSources(std::move(sources));
+}
+
+void Watch::setSources(std::vector<DiscoveryAddress> sources) {
+    several_.reset();
+    std::size_t first = 0;
+    if (sources.size() > 1) {
+        sources::SourceSelector selector(sources.size(), seed_);
+        first = selector.current();
+        several_.reset(
+            new Several{sources, std::move(selector), transport::Alarm(loop_, [this] { call(); }), 0, 0, 0});
+    }
+    at_ = sources[first].address;
+    host_ = sources[first].host;
+}
 
 void Watch::want() {
-    if (state_ == State::resting) call();
+    const bool pauses = several_ && several_->retry.isSet();
+    if (state_ == State::resting && !pauses) call();
 }
 
-void Watch::moveTo(transport::Address at, std::string host) {
-    host_ = std::move(host);
-    if (!transport::sameAddress(at, at_)) {
-        at_ = at;
+void Watch::moveTo(std::vector<DiscoveryAddress> sources) {
+    if (several_ && std::equal(sources.begin(), sources.end(), several_->addresses.begin(),
+                               several_->addresses.end(), isSameSource))
+        return;
+    const transport::Address before = at_;
+    const auto kept = std::find_if(sources.begin(), sources.end(), [&](const DiscoveryAddress& source) {
+        return transport::sameAddress(source.address, before);
+    });
+    if (kept != sources.end()) {
+        const DiscoveryAddress current = *kept;
+        const auto index = static_cast<std::size_t>(kept - sources.begin());
+        setSources(std::move(sources));
+        at_ = current.address;
+        host_ = current.host;
+        if (several_) several_->selector.resumeAt(index);
+    } else {
+        setSources(std::move(sources));
+        if (several_) version_ = 0;
         anew_ = true;
         state_ = State::resting;
         connection_.reset();
@@ -53,7 +91,7 @@
     answer_.clear();
     if (connection_) return write();
     state_ = State::connecting;
-    limit_.set(transport::Loop::now() + kConnecting);
+    limit_.set(transport::Loop::now() + (isProbing() ? several_->selector.attemptTimeout() : kConnecting));
     transport::Connection::Owner& self = *this;
     connection_ = std::make_unique<transport::Connection>(loop_, pool_, self);
     if (!connection_->open(at_)) fail("can't connect");
@@ -70,8 +108,12 @@
     state_ = State::waiting;
     // All routers call again with each change. Were their waits over together too, the watches that died
     // together would be opened anew together, and discovery answers one call after the other.
-    const Nanos wait = wait_ / 2 + std::uniform_int_distribution<Nanos>(0, wait_ / 2)(chance_);
-    limit_.set(transport::Loop::now() + (anew_ ? kAnswer : wait + kGrace));
+    const Nanos longest = several_ ? std::min(wait_, kWaitAmongSeveral) : wait_;
+    Nanos wait = longest / 2 + std::uniform_int_distribution<Nanos>(0, longest / 2)(chance_);
+    if (isProbing())
+        wait = 0;  // told at once what is newer, if only that nothing is; the attempt's limit holds
+    else
+        limit_.set(transport::Loop::now() + (anew_ ? kAnswer : wait + kGrace));
     const auto after = anew_ ? "" : fmt::format("?after={}&wait_ms={}", version_, wait / kMillisecond);
     const auto call = fmt::format("GET /api/targets{} HTTP/1.1\r\nHost: {}\r\n\r\n", after, host_);
     if (!connection_->write(call)) fail("the connection broke");
@@ -79,7 +121,10 @@
 
 void Watch::received(std::string_view bytes) {
     if (state_ == State::resting) return connection_.reset();
-    if (std::exchange(state_, State::reading) == State::waiting) limit_.set(transport::Loop::now() + kAnswer);
+    const bool begins = state_ == State::waiting;
+    state_ = State::reading;
+    // A whole list may be long; what is newer is short, and a source that is tried has its limit.
+    if (begins && (anew_ || !isProbing())) limit_.set(transport::Loop::now() + kAnswer);
     const auto state = answer_.feed(bytes);
     if (state == protocol::HttpAnswer::State::whole) return answered();
     if (state == protocol::HttpAnswer::State::broken) fail("an answer that is not HTTP");
@@ -98,12 +143,16 @@
         const auto roster = protocol::readRoster(answer_.body());
         // Another call's answer, come late, or a discovery that has lost what it knew: which of the two shows
         // in what the whole list is then.
-        if (!anew_ && roster.version < version_)
+        if (several_) {
+            if (roster.version < version_ && !takesOlder(roster)) return;
+            several_->selector.answered();
+        } else if (!anew_ && roster.version < version_)
             throw protocol::Malformed(fmt::format("version {} after version {}", roster.version, version_));
         version_ = roster.version;
         anew_ = reopened_ = false;
         heardAt_ = transport::Loop::now();
-        if (!std::exchange(trouble_, {}).empty()) log_("the list is had from discovery again");
+        if (!std::exchange(trouble_, {}).empty())
+            log_(fmt::format("the list is had from {} again", several_ ? host_ : "discovery"));
         core_.listed(roster.full ? NewsKind::whole : NewsKind::changes, roster);
     } catch (const protocol::Malformed& problem) {
         // The same changes would be spoilt in the same way again.
@@ -119,14 +168,15 @@
 void Watch::silent() {
     if (state_ == State::connecting) return fail("can't connect in time");
     if (state_ == State::reading) return fail("the answer was not whole in time");
-    if (anew_ || std::exchange(reopened_, true)) return fail("no answer in time");
+    if (several_ || anew_ || std::exchange(reopened_, true)) return fail("no answer in time");
     note("no answer in time");
     connection_.reset();
     call();
 }
 
 void Watch::note(std::string_view why) {
-    trouble_ = why;
+    trouble_ = several_ ? fmt::format("{}: {}", host_, why) : std::string(why);
+    if (several_) return;  // told with the move to the next source
     const auto age = (transport::Loop::now() - heardAt_) / kMillisecond;
     log_(fmt::format("the list could not be had from discovery: {}; last heard of {} ms ago", why, age));
 }
@@ -137,6 +187,48 @@
     limit_.clear();
     connection_.reset();
     core_.listFailed();
+    if (several_) askNextSource(why);
+}
+
+bool Watch::takesOlder(const protocol::Roster& roster) {
+    const auto offered = fmt::format("version {} after version {}", roster.version, version_);
+    if (several_->selector.judge(roster.version, version_) == sources::ListVerdict::older) {
+        fail(offered);
+        return false;
+    }
+    if (!roster.full) {
+        anew_ = true;
+        fail(offered + ", as from all others; the whole list is needed");
+        return false;
+    }
+    log_(fmt::format("takes {} from {}: every source tells an older one", offered, host_));
+    return true;
+}
+
+void Watch::askNextSource(std::string_view why) {
+    const std::string failed = fmt::format("{}: {}", host_, why);
+    const sources::Attempt next = several_->selector.failed(transport::Loop::now());
+    at_ = several_->addresses[next.source].address;
+    host_ = several_->addresses[next.source].host;
+    several_->retry.set(next.at);
+    logMove(failed);
+}
+
+void Watch::logMove(std::string_view why) {
+    const Nanos now = transport::Loop::now();
+    if (now - several_->logWindowBegan >= kLogWindow) {
+        several_->logWindowBegan = now;
+        several_->logged = 0;
+    }
+    if (several_->logged >= kMostLoggedMoves) {
+        ++several_->unlogged;
+        return;
+    }
+    ++several_->logged;
+    const auto unlogged = several_->unlogged ? fmt::format("; {} more moves before", several_->unlogged) : "";
+    several_->unlogged = 0;
+    log_(fmt::format("asks {} for its list: {}; last heard of {} ms ago{}", host_, why,
+                     (now - heardAt_) / kMillisecond, unlogged));
 }
 
 }  // namespace poppyscale::routing
