Tests: three sources of which two are lost; a stranger's request counts for nothing

Cause: only two sources were tried with real processes.

Change: a test with a killed, a silent and a living source; a test that a request for a version of another process is neither recorded nor answered.

--- a/tests/list_sources_test.cpp
+++ b/tests/list_sources_test.cpp
@@ -372,6 +372,38 @@
     CHECK(pair.router.logs(pair.used->address() + ": answered 503"));
 }
 
+TEST_CASE("two of three sources lost, one of them silent: the change is had from the third, by its version") {
+    std::array<StandInSource, 3> sources;
+    RouterProcess router(sectionOf({sources[0].address(), sources[1].address(), sources[2].address()}));
+    const auto waitsAt = [&](const StandInSource& source) { return source.connectionCount() > 0; };
+    REQUIRE(soon([&] { return std::any_of(sources.begin(), sources.end(), waitsAt); }));
+    std::this_thread::sleep_for(milliseconds(1'000));
+    const auto used = std::find_if(sources.begin(), sources.end(), waitsAt);
+    REQUIRE(used != sources.end());
+    StandInSource& silent = sources[static_cast<std::size_t>(used - sources.begin() + 1) % 3];
+    StandInSource& alive = sources[static_cast<std::size_t>(used - sources.begin() + 2) % 3];
+    silent.set(Behaviour::silent);
+    const auto killed = Clock::now();
+    used->kill();
+    alive.publish(8);
+    CHECK(soon([&] { return hasRequest(alive, after(8)); }, 2 * kChangeWithin));
+    const auto took = Clock::now() - killed;
+    CHECK(took < kChangeWithin);
+    MESSAGE("had from the third source after ms: ", std::chrono::duration_cast<milliseconds>(took).count());
+    REQUIRE(alive.requestCount() > 0);
+    CHECK(alive.requests()[0].line.starts_with(after(7)));
+    CHECK_FALSE(hasRequest(alive, kWhole));
+}
+
+TEST_CASE("what a stranger asks of a stand-in source counts for nothing") {
+    StandInSource source;
+    Socket stranger(
+        static_cast<std::uint16_t>(std::stoi(source.address().substr(source.address().find(':') + 1))));
+    stranger.say("GET /api/targets?after=9&wait_ms=0 HTTP/1.1\r\n\r\n");
+    CHECK(stranger.ended());
+    CHECK(source.requestCount() == 0);
+}
+
 TEST_CASE("an older list is taken once every source tells an older one, and that is logged") {
     Pair pair;
     pair.other->publish(5);
