--- a/src/routing/watch.cpp
+++ b/src/routing/watch.cpp
@@ -28,13 +28,14 @@
 }  // namespace
 
 Watch::Watch(transport::Loop& loop, transport::Pool& pool, Core& core, std::vector<DiscoveryAddress> sources,
-             std::int64_t version, Nanos wait, std::uint64_t seed, std::size_t longestList, Log log)
+             std::uint64_t sourceSeed, std::int64_t version, Nanos wait, std::uint64_t seed,
+             std::size_t longestList, Log log)
     : loop_(loop),
       pool_(pool),
       core_(core),
       version_(version),
       wait_(wait),
-      seed_(seed),
+      sourceSeed_(sourceSeed),
       chance_(static_cast<std::mt19937::result_type>(seed ^ seed >> 32)),
       log_(std::move(log)),
       heardAt_(transport::Loop::now()),
@@ -47,7 +48,7 @@
     several_.reset();
     std::size_t first = 0;
     if (sources.size() > 1) {
-        sources::SourceSelector selector(sources.size(), seed_);
+        sources::SourceSelector selector(sources.size(), sourceSeed_);
         first = selector.current();
         several_.reset(
             new Several{sources, std::move(selector), transport::Alarm(loop_, [this] { call(); }), 0, 0, 0});
--- a/src/routing/watch.hpp
+++ b/src/routing/watch.hpp
@@ -23,9 +23,10 @@
 
 class Watch : private transport::Connection::Owner {
   public:
-    // At least one source.
+    // At least one source. `sourceSeed` is what the choice among several is drawn from.
     Watch(transport::Loop& loop, transport::Pool& pool, Core& core, std::vector<DiscoveryAddress> sources,
-          std::int64_t version, Nanos wait, std::uint64_t seed, std::size_t longestList, Log log);
+          std::uint64_t sourceSeed, std::int64_t version, Nanos wait, std::uint64_t seed,
+          std::size_t longestList, Log log);
 
     // After a failure of a single source nothing is asked until this is called again: when to is the module's
     // decision. Among several sources the selector decides when the next one is asked.
@@ -78,7 +79,7 @@
     std::string host_;
     std::int64_t version_;
     Nanos wait_;  // the longest
-    std::uint64_t seed_;
+    std::uint64_t sourceSeed_;
     std::mt19937 chance_;
     std::uint64_t calls_ = 0;
     Log log_;
