--- a/src/lab/hollow/hollow_router.hpp
+++ b/src/lab/hollow/hollow_router.hpp
@@ -28,6 +28,8 @@
     // Of the list that was handed over last; 0 without one.
     std::int64_t version() const { return version_; }
     std::uint64_t digest() const { return image_.digest(); }
+    // Whether the decision module holds the servers that it was handed.
+    bool moduleAgrees() { return image_.agrees(beliefs()); }
 
   private:
     ListImage image_;
@@ -47,6 +49,7 @@
     std::optional<scale::ForceRecord> turn();
 
     bool hasList() const { return inForce_ > 0; }
+    bool moduleAgrees() { return core_->moduleAgrees(); }
     std::uint64_t versionsFallen() const { return fallen_; }
     std::uint64_t calls() const { return callsBefore_ + watch_->calls(); }
 
--- a/src/lab/hollow/main.cpp
+++ b/src/lab/hollow/main.cpp
@@ -197,7 +197,11 @@
     end();
     records_.flush();
     std::uint64_t fallen = 0;
-    for (const auto& router : routers_) fallen += router->versionsFallen();
+    int disagreeing = 0;
+    for (const auto& router : routers_) {
+        fallen += router->versionsFallen();
+        if (!router->moduleAgrees()) ++disagreeing;
+    }
     const nlohmann::json totals{{"routers", routers_.size()},
                                 {"seconds", static_cast<double>(measured_) / 1e9},
                                 {"processor_seconds", processorUsed_},
@@ -207,6 +211,7 @@
                                 {"bytes_out", meter_.bytesOut()},
                                 {"peak_bytes_per_second", meter_.peakBytesPerSecond()},
                                 {"calls", callsMeasured_},
+                                {"modules_disagreeing", disagreeing},
                                 {"versions_fallen", fallen}};
     std::ofstream(pathOf("json")) << totals.dump(1) << '\n';
     loop_.stop();
@@ -228,6 +233,7 @@
     app.add_option("--restart", options.restarts, "AT_MS:PART of the routers");
     app.add_option("--without", options.without, "a known mistake: apply")->check(CLI::IsMember({"apply"}));
     CLI11_PARSE(app, argc, argv);
+    std::signal(SIGPIPE, SIG_IGN);  // an upstream that has gone shows in what the write returns
     try {
         Hollow(options).run();
     } catch (const std::exception& problem) {
--- a/src/lab/scale/discovery.cpp
+++ b/src/lab/scale/discovery.cpp
@@ -434,6 +434,9 @@
 
 }  // namespace
 
-int serveDiscovery(const DiscoveryOptions& options) { return Discovery(options).run(); }
+int serveDiscovery(const DiscoveryOptions& options) {
+    std::signal(SIGPIPE, SIG_IGN);  // a caller that has gone shows in what the write returns
+    return Discovery(options).run();
+}
 
 }  // namespace poppyscale::lab::scale
--- a/src/lab/scale/limits.cpp
+++ b/src/lab/scale/limits.cpp
@@ -15,9 +15,9 @@
 namespace {
 
 // Somewhat more than what was measured of each role, in KiB.
-constexpr double kHollowRouter = 200;
-constexpr double kHollowRouterPerCache = 1.5;
-constexpr double kRealRouter = 16'000;
+constexpr double kHollowRouter = 100;
+constexpr double kHollowRouterPerCache = 1.8;
+constexpr double kRealRouter = 8'000;
 constexpr double kRealRouterPerCache = 3;
 constexpr double kControl = 50'000;  // discovery, or a distributor
 constexpr double kControlPerCache = 2;
@@ -69,6 +69,9 @@
             "real routers behind distributors: not built, since what is in force there is read from their "
             "calls to discovery");
     for (const Event& event : options.events) refuseEvent(options, event);
+    if (options.hollowRouters > 0) programPath("poppyscale_hollow");
+    if (options.realRouters > 0) programPath("poppyscale");
+    if (options.distributors > 0) programPath("poppyscale_distributor");
     const Demand demand = demandOf(options);
     const double machineKib =
         static_cast<double>(::sysconf(_SC_PHYS_PAGES)) * static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1024;
--- a/src/lab/scale/processes.cpp
+++ b/src/lab/scale/processes.cpp
@@ -128,7 +128,7 @@
     std::ofstream(path) << routerConfiguration(options, router, listen, fmt::format("127.0.0.1:{}", port))
                         << '\n';
     return std::make_unique<Process>(
-        "'" + programPath("poppyscale") + "'",
+        fmt::format("'{}'", programPath("poppyscale")),
         std::vector<std::pair<std::string, std::string>>{{"ROUTER_CONFIG", path},
                                                          {"ROUTER_NAME", fmt::format("router-{}", router)},
                                                          {"ROUTER_LISTEN", listen}},
--- a/src/lab/scale/scale.cpp
+++ b/src/lab/scale/scale.cpp
@@ -394,6 +394,7 @@
         result.routerMessagesPerSecond += totals.at("calls").get<double>() / seconds / routers;
         result.routerPeakBytesPerSecond =
             std::max(result.routerPeakBytesPerSecond, totals.at("peak_bytes_per_second").get<double>());
+        result.modulesDisagreeing += totals.at("modules_disagreeing").get<int>();
     }
 }
 
@@ -433,6 +434,9 @@
     if (result.lost > 0)
         result.broken.push_back(
             fmt::format("{} pairs of a router and a change never came into force", result.lost));
+    if (result.modulesDisagreeing > 0)
+        result.broken.push_back(fmt::format(
+            "the decision modules of {} routers hold other servers than listed", result.modulesDisagreeing));
     if (result.stale > 0)
         result.broken.push_back(fmt::format("versions fell at routers, {} times", result.stale));
 }
@@ -471,6 +475,7 @@
                               {"messages_per_second_control", result.controlMessagesPerSecond},
                               {"delivered", result.delivered},
                               {"stale", result.stale},
+                              {"modules_disagreeing", result.modulesDisagreeing},
                               {"lost", result.lost},
                               {"measured_seconds", result.measuredSeconds},
                               {"broken", result.broken}};
--- a/src/lab/scale/scale.hpp
+++ b/src/lab/scale/scale.hpp
@@ -81,6 +81,7 @@
     double routerMessagesPerSecond = 0;  // calls of one hollow router
     double inForceThroughLossMaxMs = 0;  // of changes made while a distributor was lost
     double measuredSeconds = 0;
+    int modulesDisagreeing = 0;  // hollow routers whose decision module held other servers than it was handed
 };
 
 // Throws std::runtime_error, before anything is started, for what the machine can't hold and for what is not
--- /dev/null
+++ b/tests/lab_scale_test.cpp
@@ -0,0 +1,335 @@
+// Scale runs: small ones as a program, the known mistakes that they have to find, and their judge by itself.
+#include <doctest/doctest.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "lab/scale/in_force.hpp"
+#include "lab/scale/record.hpp"
+#include "lab/scale/server_list.hpp"
+#include "protocol/discovery.hpp"
+
+namespace {
+
+using namespace poppyscale;
+using namespace poppyscale::lab::scale;
+
+struct Output {
+    int code = -1;
+    std::string text;
+    std::string lastLine;
+};
+
+Output shell(const std::string& command) {
+    Output output;
+    FILE* const pipe = popen((command + " 2>&1").c_str(), "r");
+    std::array<char, 4096> buffer{};
+    while (const std::size_t got = std::fread(buffer.data(), 1, buffer.size(), pipe))
+        output.text.append(buffer.data(), got);
+    const int status = pclose(pipe);
+    output.code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    const auto end = output.text.find_last_not_of('\n');
+    const auto begin = output.text.find_last_of('\n', end);
+    output.lastLine = output.text.substr(begin + 1, end - begin);
+    return output;
+}
+
+// A folder for the files of a test, removed with it.
+class Folder {
+  public:
+    Folder() {
+        std::string name = std::filesystem::temp_directory_path().string() + "/scale-XXXXXX";
+        path_ = mkdtemp(name.data());
+    }
+    ~Folder() { std::filesystem::remove_all(path_); }
+    Folder(const Folder&) = delete;
+    Folder& operator=(const Folder&) = delete;
+
+    std::string operator/(const std::string& name) const { return path_ + "/" + name; }
+    std::string write(const std::string& name, const std::string& text) const {
+        std::ofstream(*this / name) << text;
+        return *this / name;
+    }
+
+  private:
+    std::string path_;
+};
+
+std::string scaleCommand(const std::string& file, const std::string& folder, const std::string& more) {
+    return std::string(POPPYLAB) + " scale " + file + " --zones 3 --caches 100 --out " + folder + " " + more;
+}
+
+nlohmann::json resultIn(const std::string& folder) {
+    std::ifstream file(folder + "/result.json");
+    return nlohmann::json::parse(file);
+}
+
+double figure(const std::string& line, const std::string& name) {
+    const auto at = (" " + line).find(" " + name + "=");
+    REQUIRE_MESSAGE(at != std::string::npos, name, " is not in: ", line);
+    return std::stod(line.substr(at + name.size() + 1));
+}
+
+std::size_t linesOf(const std::string& path) {
+    std::ifstream file(path);
+    return static_cast<std::size_t>(
+        std::count(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>(), '\n'));
+}
+
+// Content of version v is 100 + v.
+std::vector<Change> versions(int count) {
+    std::vector<Change> all;
+    for (int v = 1; v <= count; ++v)
+        all.push_back({v, v * 1'000 * kMillisecond, static_cast<std::uint64_t>(100 + v)});
+    return all;
+}
+
+ForceRecord holds(std::int64_t version, std::int64_t atMs) {
+    return {0, 0, version, static_cast<std::uint64_t>(100 + version), atMs * kMillisecond};
+}
+
+}  // namespace
+
+TEST_CASE("scale judge: a change is in force from the first list with it") {
+    InForce judged(versions(3));
+    judged.add({holds(1, 1'010), holds(2, 2'030), holds(3, 3'005)});
+    CHECK(judged.delivered() == 2);
+    CHECK(judged.lost() == 0);
+    CHECK(judged.stale() == 0);
+    CHECK(judged.quantileMs(1) == doctest::Approx(30));
+    CHECK(judged.quantileMs(0.5) == doctest::Approx(5));
+}
+
+TEST_CASE("scale judge: a list of two changes at once brings both into force") {
+    InForce judged(versions(3));
+    judged.add({holds(1, 1'010), holds(3, 3'005)});
+    CHECK(judged.delivered() == 2);
+    CHECK(judged.quantileMs(1) == doctest::Approx(1'005));
+}
+
+TEST_CASE("scale judge: a lost list is found although later versions are told") {
+    InForce judged(versions(4));
+    ForceRecord third = holds(3, 3'010);
+    third.digest = 7;  // without what version 2 brought
+    ForceRecord fourth = holds(4, 4'010);
+    fourth.digest = 8;
+    judged.add({holds(1, 1'010), third, fourth});
+    CHECK(judged.delivered() == 0);
+    CHECK(judged.lost() == 3);
+}
+
+TEST_CASE("scale judge: a list that is mended later counts from then on") {
+    InForce judged(versions(4));
+    ForceRecord third = holds(3, 3'010);
+    third.digest = 7;
+    judged.add({holds(1, 1'010), third, holds(4, 4'020)});
+    CHECK(judged.lost() == 0);
+    CHECK(judged.quantileMs(1) == doctest::Approx(2'020));
+}
+
+TEST_CASE("scale judge: an older list again is stale, and the change is in force only after it") {
+    InForce judged(versions(3));
+    judged.add({holds(1, 1'010), holds(3, 3'005), holds(2, 4'000), holds(3, 5'000)});
+    CHECK(judged.stale() == 1);
+    CHECK(judged.lost() == 0);
+    CHECK(judged.quantileMs(1) == doctest::Approx(2'000));
+
+    InForce never(versions(3));
+    never.add({holds(1, 1'010), holds(3, 3'005), holds(2, 4'000)});
+    CHECK(never.stale() == 1);
+    CHECK(never.lost() == 1);
+}
+
+TEST_CASE("scale judge: a new process with the newest list takes nothing out of force") {
+    InForce judged(versions(3));
+    judged.add({holds(1, 1'010), holds(3, 3'005), holds(3, 9'000)});
+    CHECK(judged.stale() == 0);
+    CHECK(judged.quantileMs(1) == doctest::Approx(1'005));
+}
+
+TEST_CASE("scale judge: a router without any list has lost all changes") {
+    InForce judged(versions(3));
+    judged.add({});
+    CHECK(judged.lost() == 2);
+    CHECK(judged.delivered() == 0);
+}
+
+TEST_CASE("scale discovery: its changes make of any earlier list the present one") {
+    ServerList list(40, 3, 5, 1'700'000'000'000);
+    std::vector<std::unordered_map<std::string, std::uint64_t>> held;
+    std::vector<std::int64_t> since;
+    const auto apply = [](const protocol::Roster& roster,
+                          std::unordered_map<std::string, std::uint64_t>& to) {
+        if (roster.full) to.clear();
+        for (const auto& place : roster.places)
+            to[place.listed.name] = entryDigest(place.listed.name, place.listed.presence, place.startedMs);
+    };
+    for (int i = 0; i < 400; ++i) {
+        if (i % 50 == 0) {
+            apply(protocol::readRoster(list.whole()), held.emplace_back());
+            since.push_back(list.version());
+        }
+        CHECK_FALSE(list.change(1'700'000'000'000 + i).empty());
+        CHECK(list.version() == i + 2);
+    }
+    for (std::size_t i = 0; i < held.size(); ++i) {
+        const auto changes = protocol::readRoster(list.changesSince(since[i]));
+        CHECK_FALSE(changes.full);
+        CHECK(changes.version == list.version());
+        apply(changes, held[i]);
+        std::uint64_t digest = 0;
+        for (const auto& [name, entry] : held[i]) digest += entry;
+        CHECK(digest == list.digest());
+    }
+    CHECK(protocol::readRoster(list.changesSince(0)).full);
+    CHECK(protocol::readRoster(list.changesSince(list.version() + 1)).full);
+    CHECK(list.size() >= 30);
+    CHECK(list.size() <= 40);
+}
+
+TEST_CASE("scale: small runs, and the known mistakes that they find") {
+    const Folder folder;
+    const std::string plain = folder.write("plain.toml", "[bounds]\nin_force_ms = 5000\n");
+    const std::string tight = folder.write("tight.toml", "[bounds]\nin_force_ms = 0.001\n");
+    const std::string events = folder.write("events.toml", R"([bounds]
+in_force_ms = 5000
+[[events]]
+kind = "restart_routers"
+at_ms = 500
+part = 0.2
+[[events]]
+kind = "slow_discovery"
+at_ms = 1500
+length_ms = 1000
+delay_ms = 400
+[[events]]
+kind = "slow_reader"
+at_ms = 100
+length_ms = 2500
+)");
+    const auto start = [&](const std::string& file, const std::string& name, const std::string& more) {
+        return std::async(std::launch::async, shell, scaleCommand(file, folder / name, more));
+    };
+    auto kept = start(plain, "kept", "--routers 30 --real 2 --changes-per-second 10 --seconds 3");
+    auto apply = start(plain, "apply", "--routers 10 --changes-per-second 60 --seconds 3 --without apply");
+    auto order = start(plain, "order", "--routers 10 --changes-per-second 30 --seconds 3 --without order");
+    auto bound = start(tight, "tight", "--routers 5 --changes-per-second 5 --seconds 1");
+    auto disturbed = start(events, "events", "--routers 20 --real 1 --changes-per-second 10 --seconds 3");
+
+    const Output good = kept.get();
+    CHECK_MESSAGE(good.code == 0, good.text);
+    for (const char* name : {"in_force_p50_ms", "bytes_per_second_router", "cpu_share_router",
+                             "memory_kb_router", "cpu_share_control", "messages_per_second_control"})
+        CHECK_MESSAGE(figure(good.lastLine, name) > 0, good.lastLine);
+    CHECK(figure(good.lastLine, "routers") == 32);
+    CHECK(figure(good.lastLine, "caches") == 100);
+    CHECK(figure(good.lastLine, "lost") == 0);
+    CHECK(figure(good.lastLine, "stale") == 0);
+    CHECK(figure(good.lastLine, "in_force_max_ms") < 5'000);
+    const auto result = resultIn(folder / "kept");
+    const std::size_t changes = linesOf(folder / "kept/changes.tsv") - 1;
+    CHECK(changes >= 10);
+    CHECK(result.at("delivered").get<std::size_t>() == 32 * changes);
+    // The socket's own count at the hollow routers, discovery's at the real ones.
+    const double ratio =
+        result.at("bytes_per_second_router").get<double>() / result.at("bytes_per_second_real").get<double>();
+    CHECK_MESSAGE((ratio > 0.9 && ratio < 1.1), result.dump());
+    CHECK(std::filesystem::file_size(folder / "kept/report.html") > 500);
+
+    const Output lost = apply.get();
+    CHECK_MESSAGE(lost.code == 1, lost.text);
+    CHECK_MESSAGE(figure(lost.lastLine, "lost") > 0, lost.text);
+    CHECK_MESSAGE(lost.text.find("never came into force") != std::string::npos, lost.text);
+
+    const Output older = order.get();
+    CHECK_MESSAGE(older.code == 1, older.text);
+    CHECK_MESSAGE(figure(older.lastLine, "stale") > 0, older.text);
+    CHECK_MESSAGE(older.text.find("versions fell") != std::string::npos, older.text);
+
+    const Output slower = bound.get();
+    CHECK_MESSAGE(slower.code == 1, slower.text);
+    CHECK_MESSAGE(slower.text.find("over the bound of 0.001") != std::string::npos, slower.text);
+
+    const Output eventful = disturbed.get();
+    CHECK_MESSAGE(eventful.code == 0, eventful.text);
+    CHECK_MESSAGE(figure(eventful.lastLine, "lost") == 0, eventful.text);
+    // What changes while discovery holds each answer back by that long.
+    CHECK_MESSAGE(figure(eventful.lastLine, "in_force_max_ms") >= 400, eventful.text);
+}
+
+TEST_CASE("scale: what can't be is refused before anything is started") {
+    const Folder folder;
+    const std::string plain = folder.write("plain.toml", "");
+    const auto refused = [&](const std::string& file, const std::string& more, const std::string& why) {
+        const Output output = shell(scaleCommand(file, folder / "out", "--seconds 1 " + more));
+        CHECK_MESSAGE(output.code == 2, output.text);
+        CHECK_MESSAGE(output.text.find(why) != std::string::npos, output.text);
+        CHECK_FALSE(std::filesystem::exists(folder / "out"));
+    };
+    refused(plain, "--routers 2 --purges-per-second 3", "no mechanism carries purges yet");
+    refused(plain, "--routers 0", "a run needs a router");
+    refused(plain, "--routers 100000 --caches 100000", "over half of the machine's");
+    refused(plain, "--routers 2 --without sense", "no known mistake is called 'sense'");
+    refused(plain, "--routers 2 --real 1 --distributors 1", "not built");
+    const auto event = [&](const std::string& kind, const std::string& more) {
+        return folder.write(kind + ".toml", "[[events]]\nkind = \"" + kind + "\"\nat_ms = 100\n" + more);
+    };
+    refused(event("cut_zone", "length_ms = 10"), "--routers 2", "event cut_zone: not built");
+    refused(event("lose_rack", "length_ms = 10"), "--routers 2", "event lose_rack: not built");
+    refused(event("kill_distributor", "length_ms = 10"), "--routers 2", "there is no distributor");
+    refused(event("slow_reader", "length_ms = 1000"), "--routers 2", "after the measured 1.0 s");
+    refused(event("restart_routers", ""), "--routers 0 --real 1", "there is no hollow router");
+
+    const Output few =
+        shell("ulimit -n 100; " + scaleCommand(plain, folder / "out", "--routers 200 --seconds 1"));
+    CHECK_MESSAGE(few.code == 2, few.text);
+    CHECK_MESSAGE(few.text.find("descriptors of a process, over its 100") != std::string::npos, few.text);
+}
+
+TEST_CASE("scale: all that is wrong with a scenario is said at once, with its lines") {
+    const Folder folder;
+    const std::string file = folder.write("bad.toml", R"([bounds]
+in_force_ms = "soon"
+speed = 3
+
+[[events]]
+kind = "earthquake"
+at_ms = 5
+
+[[events]]
+kind = "slow_discovery"
+at_ms = 5
+length_ms = 100
+
+[[events]]
+kind = "restart_routers"
+at_ms = 5
+part = 7
+length_ms = 3
+)");
+    const Output output = shell(scaleCommand(file, folder / "out", "--routers 2 --seconds 1"));
+    CHECK(output.code == 1);
+    for (const char* line :
+         {"bad.toml:2: bounds.in_force_ms: is not a number",
+          "bad.toml:3: bounds.speed: is not a key that is known here",
+          "bad.toml:6: events[0].kind: 'earthquake' is none of kill_distributor",
+          "bad.toml:9: events[1].delay_ms: is missing", "bad.toml:17: events[2].part: is not from 0 to 1",
+          "bad.toml:18: events[2].length_ms: is not a key that is known here"})
+        CHECK_MESSAGE(output.text.find(line) != std::string::npos, line, " is not in:\n", output.text);
+    CHECK_FALSE(std::filesystem::exists(folder / "out"));
+    const Output absent =
+        shell(scaleCommand(folder / "none.toml", folder / "out", "--routers 2 --seconds 1"));
+    CHECK(absent.code == 1);
+    CHECK(absent.text.find("none.toml: can't be read") != std::string::npos);
+}
