--- a/src/lab/hollow/hollow_router.cpp
+++ b/src/lab/hollow/hollow_router.cpp
@@ -20,13 +20,16 @@
 }  // namespace
 
 ObservedCore::ObservedCore(transport::Loop& loop, transport::Pool& pool, const protocol::Start& start,
-                           int loseEveryList)
-    : routing::Core(loop, pool, start, mostConnections(start), ignoreLog), loseEveryList_(loseEveryList) {}
+                           int loseEveryList, std::uint64_t listsBefore)
+    : routing::Core(loop, pool, start, mostConnections(start), ignoreLog),
+      loseEveryList_(loseEveryList),
+      lists_(listsBefore) {}
 
 void ObservedCore::listed(NewsKind kind, const protocol::Roster& roster) {
-    if (!roster.places.empty()) ++lists_;
-    const bool lost = loseEveryList_ > 0 && lists_ % static_cast<std::uint64_t>(loseEveryList_) == 0;
-    if (lost && !roster.places.empty()) return;
+    const bool hasChanges = kind == NewsKind::changes && !roster.places.empty();
+    if (hasChanges) ++lists_;
+    const bool isTurn = loseEveryList_ > 0 && lists_ % static_cast<std::uint64_t>(loseEveryList_) == 0;
+    if (hasChanges && isTurn) return;
     Core::listed(kind, roster);
     image_.apply(kind, roster);
     version_ = roster.version;
@@ -39,7 +42,7 @@
 }
 
 void HollowRouter::start() {
-    core_ = std::make_unique<ObservedCore>(loop_, pool_, start_, loseEveryList_);
+    core_ = std::make_unique<ObservedCore>(loop_, pool_, start_, loseEveryList_, number_);
     const auto address = transport::parseAddress(start_.discovery);
     if (!address) throw std::runtime_error("not an address and port: " + start_.discovery);
     watch_ = std::make_unique<routing::Watch>(loop_, pool_, *core_, *address, start_.discovery, 0,
--- a/src/lab/hollow/hollow_router.hpp
+++ b/src/lab/hollow/hollow_router.hpp
@@ -19,9 +19,10 @@
 // The core itself, and what it was handed.
 class ObservedCore : public routing::Core {
   public:
-    // By a known mistake every list of that count is lost; 0 for none.
+    // By a known mistake every `loseEveryList`th list of changes is lost, 0 for none. `listsBefore` of them
+    // are taken as counted, so that not all routers lose the same.
     ObservedCore(transport::Loop& loop, transport::Pool& pool, const protocol::Start& start,
-                 int loseEveryList);
+                 int loseEveryList, std::uint64_t listsBefore);
 
     void listed(NewsKind kind, const protocol::Roster& roster) override;
 
@@ -35,7 +36,7 @@
     ListImage image_;
     std::int64_t version_ = 0;
     int loseEveryList_;
-    std::uint64_t lists_ = 0;
+    std::uint64_t lists_;
 };
 
 class HollowRouter {
--- a/tests/lab_scale_test.cpp
+++ b/tests/lab_scale_test.cpp
@@ -222,7 +222,7 @@
         return std::async(std::launch::async, shell, scaleCommand(file, folder / name, more));
     };
     auto kept = start(plain, "kept", "--routers 30 --real 2 --changes-per-second 10 --seconds 3");
-    auto apply = start(plain, "apply", "--routers 10 --changes-per-second 60 --seconds 3 --without apply");
+    auto apply = start(plain, "apply", "--routers 100 --changes-per-second 10 --seconds 3 --without apply");
     auto order = start(plain, "order", "--routers 10 --changes-per-second 30 --seconds 3 --without order");
     auto bound = start(tight, "tight", "--routers 5 --changes-per-second 5 --seconds 1");
     auto disturbed = start(events, "events", "--routers 20 --real 1 --changes-per-second 10 --seconds 3");
@@ -271,15 +271,20 @@
 TEST_CASE("scale: what can't be is refused before anything is started") {
     const Folder folder;
     const std::string plain = folder.write("plain.toml", "");
-    const auto refused = [&](const std::string& file, const std::string& more, const std::string& why) {
-        const Output output = shell(scaleCommand(file, folder / "out", "--seconds 1 " + more));
+    const auto isRefused = [&](const std::string& command, const std::string& why) {
+        const Output output = shell(command);
         CHECK_MESSAGE(output.code == 2, output.text);
         CHECK_MESSAGE(output.text.find(why) != std::string::npos, output.text);
         CHECK_FALSE(std::filesystem::exists(folder / "out"));
     };
+    const auto refused = [&](const std::string& file, const std::string& more, const std::string& why) {
+        isRefused(scaleCommand(file, folder / "out", "--seconds 1 " + more), why);
+    };
     refused(plain, "--routers 2 --purges-per-second 3", "no mechanism carries purges yet");
     refused(plain, "--routers 0", "a run needs a router");
-    refused(plain, "--routers 100000 --caches 100000", "over half of the machine's");
+    isRefused(std::string(POPPYLAB) + " scale " + plain +
+                  " --routers 100000 --caches 100000 --seconds 1 --out " + (folder / "out"),
+              "over half of the machine's");
     refused(plain, "--routers 2 --without sense", "no known mistake is called 'sense'");
     refused(plain, "--routers 2 --real 1 --distributors 1", "not built");
     const auto event = [&](const std::string& kind, const std::string& more) {
