--- a/src/lab/hollow/hollow_router.hpp
+++ b/src/lab/hollow/hollow_router.hpp
@@ -19,21 +19,24 @@
 // The core itself, and what it was handed.
 class ObservedCore : public routing::Core {
   public:
-    // By a known mistake every list of that count is lost; 0 for none.
+    // By a known mistake every `loseEveryList`th list of changes is lost, 0 for none. `listsBefore` of them
+    // are taken as counted, so that not all routers lose the same.
     ObservedCore(transport::Loop& loop, transport::Pool& pool, const protocol::Start& start,
-                 int loseEveryList);
+                 int loseEveryList, std::uint64_t listsBefore);
 
     void listed(NewsKind kind, const protocol::Roster& roster) override;
 
     // Of the list that was handed over last; 0 without one.
     std::int64_t version() const { return version_; }
     std::uint64_t digest() const { return image_.digest(); }
+    // Whether the decision module holds the servers that it was handed.
+    bool moduleAgrees() { return image_.agrees(beliefs()); }
 
   private:
     ListImage image_;
     std::int64_t version_ = 0;
     int loseEveryList_;
-    std::uint64_t lists_ = 0;
+    std::uint64_t lists_;
 };
 
 class HollowRouter {
@@ -47,6 +50,7 @@
     std::optional<scale::ForceRecord> turn();
 
     bool hasList() const { return inForce_ > 0; }
+    bool moduleAgrees() { return core_->moduleAgrees(); }
     std::uint64_t versionsFallen() const { return fallen_; }
     std::uint64_t calls() const { return callsBefore_ + watch_->calls(); }
 
