A list distributor between discovery and routers: its decisions and its program

Need: 12,000 routers can't all ask discovery itself for the list. What stands between them has to speak the list protocol on both sides, so that a router only gets another address to ask.

--- /dev/null
+++ b/src/distribution/distributor.hpp
@@ -0,0 +1,240 @@
+// What a list distributor decides: it asks upstreams (discovery, or other distributors) for the list of
+// servers and answers readers (routers, or other distributors) by the same protocol. No input or output: a
+// host brings events with their time and carries out what is asked of it.
+//
+// What a distributor promises to its readers:
+//  1. Versions that a reader is told never fall. A reader whose version is newer than the one here is parked
+//  until
+//     the one here is past it; at the end of its wait it is told that nothing has changed, with its own
+//     version.
+//  2. An upstream's list that is older than the one here is refused, unless every upstream, asked in turn for
+//  its
+//     whole list and with no newer answer by any of them in between, has told an older one: then discovery
+//     has lost what it knew, and a new epoch begins with the newest of those lists. An upstream that can't be
+//     reached says nothing, so no epoch begins before it is back or is taken out of the settings. In a new
+//     epoch, and only until its versions are past those of the old one, a reader whose version is newer than
+//     the one here is told the whole list with its lower version, after `kEpochGrace` at most: a reader that
+//     is ahead by another distributor's haste is not taken for one of the old epoch. A router refuses such an
+//     answer, asks for the whole list without a version, and takes that. A reader with a version under the
+//     one that the epoch began with gets the whole list.
+//  3. When an upstream fails, the next one is asked, from the version that is here. The pauses between
+//  attempts grow
+//     from 100 ms to 1 s, divided by the number of upstreams and with jitter; the first call to an upstream
+//     after a failure does not wait for a change, so that one which takes connections and is silent is found
+//     out within `kAnswerWithin`. With up to four upstreams a change is told within 5 s of one of them being
+//     reachable. An upstream that goes silent while a call waits at it is found out when the wait is over:
+//     within `upstreamWait` and `kAnswerWithin`.
+//  4. While no upstream can be reached, readers are answered from what is here. How old it is, counted from
+//  when
+//     an upstream last answered, and why, stand in the status; the age goes with each answer. The age that an
+//     upstream tells of its own list is added. An upstream whose list is older than `kStaleAfter` beyond its
+//     wait counts as failed, though what it tells is taken.
+//  5. Before there is a list, and over the bound on readers, a reader is answered 503 with a time to retry
+//  after.
+//  6. Changes within `batch` are told together, and no reader is answered more often than once in `batch`.
+//  7. A reader that does not take its answer costs itself alone: it is answered nothing more before it has,
+//  and it
+//     is closed after `kDrainWithin`, or after `kOverUnsentWithin` with more than `maxUnsent` bytes to take.
+//
+// What is told is the upstream's own versions, so a reader may go from one distributor to another and on. A
+// discovery that loses what it knew and is past the old version before anybody asks it can't be told from one
+// that did not.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "distribution/list_state.hpp"
+#include "logic.hpp"
+
+namespace poppyscale::distribution {
+
+using ReaderId = std::uint64_t;
+
+constexpr Nanos kSecond = 1'000 * kMillisecond;
+constexpr Nanos kEpochGrace = 1 * kSecond;
+// Of an upstream, beyond the wait that it was asked for: by then its answer is whole.
+constexpr Nanos kAnswerWithin = 1 * kSecond;
+constexpr Nanos kWholeAnswerWithin = 2 * kSecond;  // of a whole list
+constexpr Nanos kStaleAfter = 2 * kSecond;
+constexpr Nanos kMinBackoff = 100 * kMillisecond;
+constexpr Nanos kMaxBackoff = 1 * kSecond;
+constexpr Nanos kDrainWithin = 5 * kSecond;
+constexpr Nanos kOverUnsentWithin = 1 * kSecond;
+constexpr Nanos kIdleWithin = 60 * kSecond;  // between a reader's calls
+constexpr Nanos kMaxReaderWait = 60 * kSecond;
+constexpr int kRetryAfterSeconds = 1;
+
+// What keeps the promises, each by its name; one can be left out to prove that a test finds it.
+enum class Guard : std::uint8_t {
+    versionGuard,     // a reader is never told a lower version than it has
+    olderList,        // an upstream's older list is refused
+    tombstones,       // removed servers are told to readers of before
+    gaps,             // no changes are told since a version that was never here
+    failOver,         // after a failure the next upstream is asked
+    backoffJitter,    // distributors do not come back to an upstream all at once
+    batching,         // changes within `batch` are told together
+    slowReaderBound,  // a reader that does not take its answers is closed
+    staleUpstream     // an upstream whose own list is old is left
+};
+// Throws std::runtime_error that lists the names.
+Guard guardNamed(std::string_view name);
+const std::vector<std::pair<std::string_view, Guard>>& guards();
+
+struct Options {
+    std::size_t upstreams = 1;
+    Nanos upstreamWait = 10 * kSecond;
+    Nanos batch = 50 * kMillisecond;
+    std::size_t maxReaders = 4096;
+    std::size_t maxUnsent = 1024 * 1024;  // bytes of a reader's answer that its kernel has not taken
+    std::size_t maxTombstones = ListState::kDefaultTombstones;
+    std::uint64_t seed = 1;
+    std::set<Guard> without;  // nothing but in proofs
+
+    bool has(Guard guard) const { return !without.contains(guard); }
+};
+
+struct ReaderRequest {
+    std::optional<Version> after;  // the whole list at once without it
+    Nanos wait = 0;                // for a newer version than `after`
+};
+
+struct Answer {
+    int status = 200;           // or 503
+    int retryAfterSeconds = 0;  // beside 503
+    std::int64_t listAgeMs = 0;
+    bool close = false;  // the connection, once this is sent
+    SharedBytes body;    // never null
+};
+
+enum class CloseReason : std::uint8_t { slow, idle };
+
+// What the decisions ask of whatever carries them out. No method calls back into the distributor.
+class Host {
+  public:
+    virtual ~Host() = default;
+    // Gives the number of bytes that the kernel has not taken yet; `readerSent` tells of them from then on.
+    virtual std::size_t answer(ReaderId reader, const Answer& answer) = 0;
+    // Whatever was asked of an upstream before is of no interest any more.
+    virtual void askUpstream(std::size_t index, std::optional<Version> after, Nanos wait) = 0;
+    virtual void closeReader(ReaderId reader, CloseReason reason) = 0;
+    virtual void wakeAt(Nanos at) = 0;
+    virtual void log(std::string_view text) = 0;
+};
+
+struct Status {
+    Version version = 0;
+    std::size_t entries = 0;
+    std::size_t tombstones = 0;
+    Nanos age = 0;        // of the list; since the start while there is none
+    std::string trouble;  // why the list can't be had from the upstream; empty while it can
+    std::size_t upstream = 0;
+    std::size_t readers = 0;
+    std::uint64_t epochs = 0;  // begun since the start
+    std::uint64_t answers = 0;
+    std::uint64_t wholeAnswers = 0;
+    std::uint64_t deltaAnswers = 0;
+    std::uint64_t slowReadersClosed = 0;
+    std::uint64_t versionFallsRefused = 0;
+    std::uint64_t readersRefused = 0;
+};
+
+class Distributor {
+  public:
+    Distributor(const Options& options, Host& host, Nanos now);
+
+    // A reader is a connection; it may ask again before it has taken its last answer.
+    void readerConnected(Nanos now, ReaderId reader);
+    void readerAsks(Nanos now, ReaderId reader, const ReaderRequest& request);
+    void readerSent(Nanos now, ReaderId reader, std::size_t unsent);
+    void readerLeaves(Nanos now, ReaderId reader);
+
+    // Of the upstream that was asked last.
+    void upstreamAnswered(Nanos now, ListUpdate update, Nanos upstreamAge);
+    enum class Failure : std::uint8_t { unreachable, spoilt };
+    void upstreamFailed(Nanos now, Failure failure, std::string_view reason);
+
+    // All readers that wait are answered, and each connection ends with its answer.
+    void shutDown(Nanos now);
+
+    // Once after all events of a moment, and at the time last given to `wakeAt`: emits what is to be done.
+    void reconcile(Nanos now);
+
+    Status status(Nanos now) const;
+    Version version() const { return list_.version(); }
+
+  private:
+    enum class ReaderState : std::uint8_t { idle, waiting, draining };
+    struct Reader {
+        ReaderState state = ReaderState::idle;
+        bool counted = false;  // it has asked, and is one of the bounded number
+        bool refused = false;  // it came over that bound
+        Nanos since = 0;       // when it came into its state
+        Nanos mayAnswerAt = 0;
+        std::size_t unsent = 0;
+        ReaderRequest request;                // while it waits
+        std::optional<ReaderRequest> queued;  // asked while it drains
+        Nanos deadline = kNever;              // the next moment to look at it
+    };
+    enum class UpstreamState : std::uint8_t { pausing, asked };
+
+    void superviseUpstream(Nanos now);
+    void ask(Nanos now);
+    void accept(Nanos now, ListUpdate update);
+    void refuseOlder(Nanos now, ListUpdate older);
+    void beginEpoch(Nanos now);
+    void retryNext(Nanos now, std::string_view reason);
+    Nanos nextPause();
+
+    void listChanged(Nanos now);
+    void look(ReaderId id, Reader& reader);
+    Nanos deadlineOf(const Reader& reader) const;
+    bool isOfOldEpoch(Version after) const;
+    void serveDueReaders(Nanos now);
+    void serve(Nanos now, ReaderId id, Reader& reader);
+    void answer(Nanos now, ReaderId id, Reader& reader);
+    Answer answerFor(Nanos now, const Reader& reader);
+    SharedBytes bodyFor(const ReaderRequest& request);
+    void startRequest(Nanos now, Reader& reader, const ReaderRequest& request);
+    void drop(ReaderId id);
+    Nanos listAge(Nanos now) const;
+
+    Options options_;
+    Host& host_;
+    ListState list_;
+    std::mt19937_64 random_;
+
+    // The upstreams.
+    UpstreamState upstreamState_ = UpstreamState::pausing;
+    std::size_t upstream_ = 0;
+    Nanos upstreamDue_ = 0;  // when a pause is over, or an answer is too late
+    bool askWhole_ = true;
+    bool probing_ = true;  // nothing has been heard since the last failure
+    int failures_ = 0;     // in a row
+    std::string trouble_ = "nothing has been heard yet";
+    Nanos heardAt_;
+    Nanos upstreamAge_ = 0;
+    std::vector<bool> toldOlder_;             // by upstream
+    std::optional<ListUpdate> newestOlder_;   // of the lists that were refused
+    std::optional<Version> oldEpochVersion_;  // until the new epoch's versions are past it
+    Nanos epochBeganAt_ = 0;
+
+    // The readers.
+    std::map<ReaderId, Reader> readers_;
+    std::set<std::pair<Nanos, ReaderId>> deadlines_;
+    std::size_t countedReaders_ = 0;
+    Nanos batchDue_ = 0;  // when the newest version may be told
+    bool shuttingDown_ = false;
+    Nanos wokenAt_ = kNever;
+    Status counts_;
+};
+
+}  // namespace poppyscale::distribution
--- /dev/null
+++ b/src/distribution/server_list.cpp
@@ -0,0 +1,93 @@
+#include "distribution/server_list.hpp"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "protocol/discovery.hpp"
+
+namespace poppyscale::distribution {
+namespace {
+
+// Finds the texts of the objects in the array `servers` of a JSON object that is known to be well formed.
+class EntryScanner {
+  public:
+    explicit EntryScanner(std::string_view json) : json_(json) {}
+
+    std::vector<std::string_view> scan() {
+        std::vector<std::string_view> entries;
+        std::string_view lastString;
+        for (position_ = 0; position_ < json_.size();) {
+            const char next = json_[position_];
+            if (next == '"') {
+                lastString = takeString();
+                continue;
+            }
+            if (next == '[' && depth_ == 1 && lastString == "servers") {
+                entries = takeArray();  // of a key that is there twice the last one counts, as for the parser
+                continue;
+            }
+            if (next == '{' || next == '[') ++depth_;
+            if (next == '}' || next == ']') --depth_;
+            ++position_;
+        }
+        return entries;
+    }
+
+  private:
+    // From one quotation mark to behind the other; gives what is between them.
+    std::string_view takeString() {
+        const std::size_t begin = ++position_;
+        while (json_[position_] != '"') position_ += json_[position_] == '\\' ? 2 : 1;
+        const std::size_t end = position_++;
+        return json_.substr(begin, end - begin);
+    }
+
+    std::vector<std::string_view> takeArray() {
+        std::vector<std::string_view> entries;
+        int depth = 0;
+        std::size_t begin = 0;
+        do {
+            const char next = json_[position_];
+            if (next == '"') {
+                takeString();
+                continue;
+            }
+            if (next == '{' && depth == 1) begin = position_;
+            if (next == '{' || next == '[') ++depth;
+            if (next == '}' || next == ']') --depth;
+            ++position_;
+            if (next == '}' && depth == 1) entries.push_back(json_.substr(begin, position_ - begin));
+        } while (depth > 0);
+        return entries;
+    }
+
+    std::string_view json_;
+    std::size_t position_ = 0;
+    int depth_ = 0;
+};
+
+}  // namespace
+
+ListUpdate readListUpdate(std::string_view json) {
+    const protocol::Roster list = protocol::readRoster(json);
+    const auto texts = EntryScanner(json).scan();
+    if (texts.size() != list.places.size())
+        throw protocol::Malformed("a list whose entries can't be told apart");
+    ListUpdate update;
+    update.version = list.version;
+    update.full = list.full;
+    update.entries.reserve(texts.size());
+    for (std::size_t i = 0; i < texts.size(); ++i) {
+        const Listed& listed = list.places[i].listed;
+        update.entries.push_back({listed.name, listed.presence == Presence::gone, std::string(texts[i])});
+    }
+    return update;
+}
+
+ServerEntry goneEntry(const ServerEntry& last) {
+    auto entry = nlohmann::json::parse(last.text);
+    entry["state"] = "Gone";
+    return {last.id, true, entry.dump()};
+}
+
+}  // namespace poppyscale::distribution
--- /dev/null
+++ b/src/distributor/main.cpp
@@ -0,0 +1,36 @@
+#include <fmt/format.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <exception>
+#include <string>
+
+#include "distributor/program.hpp"
+#include "distributor/settings.hpp"
+
+namespace {
+
+constexpr int kCannotStart = 1;
+constexpr int kUsage = 2;
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    CLI::App app{"poppyscale_distributor: passes the list of servers on from discovery to many routers"};
+    std::string path;
+    app.add_option("--config", path, "the settings, a TOML file")->required();
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& problem) {
+        return app.exit(problem) == 0 ? 0 : kUsage;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    try {
+        poppyscale::distributor::Program program(poppyscale::distributor::readSettings(path));
+        program.run();
+    } catch (const std::exception& problem) {
+        fmt::print(stderr, "{}\n", problem.what());
+        return kCannotStart;
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/distributor/program.cpp
@@ -0,0 +1,121 @@
+#include "distributor/program.hpp"
+
+#include <fmt/format.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <random>
+
+namespace poppyscale::distributor {
+namespace {
+
+// Connections beyond the readers: those that are told that there is no room, and who asks for the status.
+constexpr std::size_t kSpareConnections = 256;
+constexpr std::size_t kOwnDescriptors = 64;  // standard streams, loop, signals, listener, upstream
+constexpr std::size_t kSpareBuffers = 256;
+constexpr std::size_t kBuffersOfReader = 2;  // a piece of an answer that its kernel has not taken
+constexpr Nanos kEndWithin = 1'000 * kMillisecond;
+
+distribution::Options optionsOf(const Settings& settings) {
+    distribution::Options options = settings.options;
+    options.seed = std::random_device{}() ^ static_cast<std::uint64_t>(::getpid()) << 32;
+    return options;
+}
+
+}  // namespace
+
+Program::Program(const Settings& settings)
+    : settings_(settings),
+      logger_(settings.name, log::Form::text),
+      pool_((settings.options.maxReaders + kSpareConnections) * kBuffersOfReader + kSpareBuffers),
+      wake_(loop_, [] {}),  // what is to be done is done at the end of each turn
+      endBy_(loop_, [this] { loop_.stop(); }),
+      readers_(loop_, pool_, settings.options.maxReaders + kSpareConnections,
+               [this] { return statusJson(); }),
+      distributor_(optionsOf(settings), *this, transport::Loop::now()),
+      upstreams_(loop_, pool_, distributor_, settings.upstreams, settings.maxListBytes) {
+    rlimit files{};
+    const rlim_t needed = settings.options.maxReaders + kSpareConnections + kOwnDescriptors;
+    if (getrlimit(RLIMIT_NOFILE, &files) == 0 && files.rlim_cur < needed) {
+        files.rlim_cur = std::min(needed, files.rlim_max);
+        setrlimit(RLIMIT_NOFILE, &files);
+        if (files.rlim_cur < needed)
+            log(fmt::format("the system gives {} descriptors, max_readers asks for {}", files.rlim_cur,
+                            needed));
+    }
+    readers_.attach(distributor_);
+    const std::string problem = readers_.listen(settings.listenAddress);
+    if (!problem.empty()) throw CannotStart(fmt::format("can't listen on {}: {}", settings.listen, problem));
+    terminate_.emplace(loop_, SIGTERM, [this] { beginEnd(); });
+    interrupt_.emplace(loop_, SIGINT, [this] { beginEnd(); });
+    loop_.eachTurn([this] { turn(); });
+}
+
+void Program::run() {
+    log(fmt::format("listens on {}", settings_.listen));
+    loop_.run();
+}
+
+void Program::turn() {
+    readers_.turn();
+    distributor_.reconcile(transport::Loop::now());
+    if (ending_ && readers_.allSent()) loop_.stop();
+}
+
+void Program::beginEnd() {
+    if (ending_) return;
+    ending_ = true;
+    log("ends: who waits is answered");
+    readers_.stopListening();
+    upstreams_.stop();
+    distributor_.shutDown(transport::Loop::now());
+    endBy_.set(transport::Loop::now() + kEndWithin);
+}
+
+std::size_t Program::answer(distribution::ReaderId reader, const distribution::Answer& answer) {
+    return readers_.answer(reader, answer);
+}
+
+void Program::askUpstream(std::size_t index, std::optional<distribution::Version> after, Nanos wait) {
+    upstreams_.ask(index, after, wait);
+}
+
+void Program::closeReader(distribution::ReaderId reader, distribution::CloseReason reason) {
+    if (reason == distribution::CloseReason::slow) log("a reader that does not take its answer is closed");
+    readers_.close(reader);
+}
+
+void Program::wakeAt(Nanos at) {
+    if (at == kNever)
+        wake_.clear();
+    else
+        wake_.set(at);
+}
+
+void Program::log(std::string_view text) { logger_.info(text); }
+
+std::string Program::statusJson() const {
+    const distribution::Status status = distributor_.status(transport::Loop::now());
+    const nlohmann::json json{{"name", settings_.name},
+                              {"version", status.version},
+                              {"entries", status.entries},
+                              {"tombstones", status.tombstones},
+                              {"age_ms", status.age / kMillisecond},
+                              {"trouble", status.trouble},
+                              {"upstream", settings_.upstreams[status.upstream].name},
+                              {"readers", status.readers},
+                              {"epochs", status.epochs},
+                              {"answers", status.answers},
+                              {"bytes_sent", readers_.bytesSent()},
+                              {"whole_answers", status.wholeAnswers},
+                              {"delta_answers", status.deltaAnswers},
+                              {"slow_readers_closed", status.slowReadersClosed},
+                              {"readers_refused", status.readersRefused},
+                              {"version_falls_refused", status.versionFallsRefused}};
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace poppyscale::distributor
--- /dev/null
+++ b/src/distributor/settings.cpp
@@ -0,0 +1,62 @@
+#include "distributor/settings.hpp"
+
+#include <fstream>
+#include <iterator>
+
+#include "text/table.hpp"
+
+namespace poppyscale::distributor {
+namespace {
+
+constexpr int kMaxUpstreams = 16;
+
+transport::Address readAddress(text::Table& table, std::string_view key, const std::string& written) {
+    if (const auto address = transport::parseAddress(written)) return *address;
+    table.problem(key, "'" + written + "' is not an address and port");
+    return {};
+}
+
+void readUpstreams(text::Table& table, Settings& settings) {
+    const auto written = table.texts("upstreams");
+    if (table.has("upstreams") && (written.empty() || written.size() > kMaxUpstreams))
+        table.problem("upstreams", "does not name 1 to " + std::to_string(kMaxUpstreams) + " addresses");
+    for (const std::string& text : written)
+        settings.upstreams.push_back({readAddress(table, "upstreams", text), text});
+    settings.options.upstreams = std::max<std::size_t>(settings.upstreams.size(), 1);
+}
+
+void readDistributor(text::Table& table, Settings& settings) {
+    distribution::Options& options = settings.options;
+    settings.name = table.text("name", std::nullopt);
+    settings.listen = table.text("listen", std::nullopt);
+    if (table.has("listen")) settings.listenAddress = readAddress(table, "listen", settings.listen);
+    readUpstreams(table, settings);
+    options.upstreamWait = table.whole("wait_ms", 10'000, 100, 60'000) * kMillisecond;
+    options.batch = table.whole("batch_ms", 50, 1, 5'000) * kMillisecond;
+    options.maxReaders = static_cast<std::size_t>(table.whole("max_readers", 4096, 1, 1'000'000));
+    options.maxUnsent = static_cast<std::size_t>(table.whole("max_unsent_kib", 1024, 16, 1024 * 1024)) * 1024;
+    options.maxTombstones = static_cast<std::size_t>(table.whole(
+        "tombstones", static_cast<int>(distribution::ListState::kDefaultTombstones), 1024, 10'000'000));
+    settings.maxListBytes =
+        static_cast<std::size_t>(table.whole("max_list_kib", 64 * 1024, 64, 1024 * 1024)) * 1024;
+}
+
+}  // namespace
+
+Settings readSettings(const std::string& path) {
+    std::ifstream file(path, std::ios::binary);
+    const std::string written{std::istreambuf_iterator<char>(file), {}};
+    if (!file) throw SettingsError("can't read " + path);
+    text::Problems problems(path);
+    Settings settings;
+    const auto parsed = text::parseToml(written, path, problems);
+    if (parsed) {
+        text::Table root(*parsed, problems);
+        root.one("distributor", true, [&](text::Table& table) { readDistributor(table, settings); });
+        root.finish();
+    }
+    if (!problems.none()) throw SettingsError(problems.text());
+    return settings;
+}
+
+}  // namespace poppyscale::distributor
--- /dev/null
+++ b/src/distributor/settings.hpp
@@ -0,0 +1,36 @@
+// The settings of the program `poppyscale_distributor`: one TOML file with one table.
+#pragma once
+
+#include <cstddef>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "distribution/distributor.hpp"
+#include "transport/connection.hpp"
+
+namespace poppyscale::distributor {
+
+// All that is wrong with a file, a line each: "FILE:LINE: KEY: what is wrong".
+struct SettingsError : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+struct Upstream {
+    transport::Address address;
+    std::string name;  // as it was written
+};
+
+struct Settings {
+    std::string name;
+    std::string listen;
+    transport::Address listenAddress{};
+    std::vector<Upstream> upstreams;
+    std::size_t maxListBytes = 0;  // of an upstream's answer
+    distribution::Options options;
+};
+
+// Throws SettingsError.
+Settings readSettings(const std::string& path);
+
+}  // namespace poppyscale::distributor
--- /dev/null
+++ b/src/distributor/upstream_client.cpp
@@ -0,0 +1,111 @@
+#include "distributor/upstream_client.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "protocol/discovery.hpp"
+
+namespace poppyscale::distributor {
+namespace {
+
+using distribution::Distributor;
+
+// All upstreams together must be tried within the time in which a change has to be told.
+constexpr Nanos kConnectWithin = 1'000 * kMillisecond;
+constexpr Nanos kConnectAllWithin = 3'000 * kMillisecond;
+
+std::string targetOf(std::optional<distribution::Version> after, Nanos wait) {
+    if (!after) return "/api/targets";
+    return fmt::format("/api/targets?after={}&wait_ms={}", *after, wait / kMillisecond);
+}
+
+}  // namespace
+
+UpstreamClient::UpstreamClient(transport::Loop& loop, transport::Pool& pool, Distributor& distributor,
+                               std::vector<Upstream> upstreams, std::size_t maxListBytes)
+    : loop_(loop),
+      pool_(pool),
+      distributor_(distributor),
+      upstreams_(std::move(upstreams)),
+      answer_(maxListBytes),
+      connectBy_(loop, [this] { fail(Distributor::Failure::unreachable, "can't connect in time"); }) {}
+
+void UpstreamClient::ask(std::size_t index, std::optional<distribution::Version> after, Nanos wait) {
+    const bool canReuse = connection_ && index == index_ && state_ == State::idle;
+    if (!canReuse) connection_.reset();
+    index_ = index;
+    target_ = targetOf(after, wait);
+    answer_.clear();
+    if (canReuse)
+        write();
+    else
+        connect();
+}
+
+void UpstreamClient::stop() {
+    state_ = State::idle;
+    connectBy_.clear();
+    connection_.reset();
+}
+
+void UpstreamClient::connect() {
+    state_ = State::connecting;
+    const auto share = kConnectAllWithin / static_cast<Nanos>(upstreams_.size());
+    connectBy_.set(transport::Loop::now() + std::min(kConnectWithin, share));
+    transport::Connection::Owner& self = *this;
+    connection_ = std::make_unique<transport::Connection>(loop_, pool_, self);
+    // One that fails at once is told as one that fails later: not within the call that asked for it.
+    if (!connection_->open(upstreams_[index_].address)) connectBy_.set(transport::Loop::now());
+}
+
+void UpstreamClient::opened(bool up) {
+    connectBy_.clear();
+    if (!up) return fail(Distributor::Failure::unreachable, "can't connect");
+    connection_->read(true);
+    write();
+}
+
+void UpstreamClient::write() {
+    state_ = State::waiting;
+    const std::string request =
+        fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", target_, upstreams_[index_].name);
+    if (!connection_->write(request)) connectBy_.set(transport::Loop::now());
+}
+
+void UpstreamClient::received(std::string_view bytes) {
+    if (state_ != State::waiting) return connection_.reset();
+    const auto state = answer_.feed(bytes);
+    if (state == protocol::HttpAnswer::State::whole) return answered();
+    if (state == protocol::HttpAnswer::State::broken)
+        fail(Distributor::Failure::spoilt, "an answer that is not HTTP, or is too long");
+}
+
+void UpstreamClient::ended() {
+    if (state_ != State::waiting) return connection_.reset();
+    const bool isWhole = connection_->finished() && answer_.end() == protocol::HttpAnswer::State::whole;
+    if (isWhole) return answered();
+    fail(Distributor::Failure::unreachable, "the connection ended");
+}
+
+void UpstreamClient::answered() {
+    state_ = State::idle;
+    if (!answer_.keepsOpen()) connection_.reset();
+    if (answer_.status() != 200)
+        return fail(Distributor::Failure::unreachable, fmt::format("answered {}", answer_.status()));
+    const Nanos now = transport::Loop::now();
+    try {
+        auto update = distribution::readListUpdate(answer_.body());
+        distributor_.upstreamAnswered(now, std::move(update), answer_.listAgeMs() * kMillisecond);
+    } catch (const protocol::Malformed& problem) {
+        fail(Distributor::Failure::spoilt, problem.what());
+    }
+}
+
+void UpstreamClient::fail(Distributor::Failure failure, const std::string& reason) {
+    stop();
+    distributor_.upstreamFailed(transport::Loop::now(), failure, reason);
+}
+
+}  // namespace poppyscale::distributor
--- /dev/null
+++ b/src/distributor/upstream_client.hpp
@@ -0,0 +1,49 @@
+// The calls to the upstreams: one at a time, each told to the decisions.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "distribution/distributor.hpp"
+#include "distributor/settings.hpp"
+#include "protocol/http.hpp"
+#include "transport/connection.hpp"
+
+namespace poppyscale::distributor {
+
+class UpstreamClient : private transport::Connection::Owner {
+  public:
+    UpstreamClient(transport::Loop& loop, transport::Pool& pool, distribution::Distributor& distributor,
+                   std::vector<Upstream> upstreams, std::size_t maxListBytes);
+
+    // A call that is out is given up.
+    void ask(std::size_t index, std::optional<distribution::Version> after, Nanos wait);
+    void stop();
+
+  private:
+    enum class State : std::uint8_t { idle, connecting, waiting };
+
+    void opened(bool up) override;
+    void received(std::string_view bytes) override;
+    void ended() override;
+
+    void connect();
+    void write();
+    void answered();
+    void fail(distribution::Distributor::Failure failure, const std::string& reason);
+
+    transport::Loop& loop_;
+    transport::Pool& pool_;
+    distribution::Distributor& distributor_;
+    std::vector<Upstream> upstreams_;
+    State state_ = State::idle;
+    std::size_t index_ = 0;
+    std::string target_;
+    protocol::HttpAnswer answer_;
+    transport::Alarm connectBy_;
+    std::unique_ptr<transport::Connection> connection_;
+};
+
+}  // namespace poppyscale::distributor
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -2,11 +2,16 @@
 
 #include <strings.h>
 
+#include <algorithm>
+
+#include "protocol/number.hpp"
+
 namespace poppyscale::protocol {
 namespace {
 
 constexpr std::size_t kMostHeaders = 16 * 1024;
 constexpr int kMostInterim = 8;
+constexpr std::int64_t kMaxListAgeMs = 1'000'000'000;  // in nanoseconds it must not overflow
 
 }  // namespace
 
@@ -60,6 +65,7 @@
     parser_.data = this;
     headers_ = 0;
     interim_ = 0;
+    listAgeMs_ = 0;
     longLength_ = 0;
     // Given back, not only emptied: connections keep one of these each for as long as they idle.
     field_ = value_ = body_ = std::string();
@@ -68,6 +74,8 @@
 
 void HttpAnswer::headerDone() {
     if (strcasecmp(field_.c_str(), "X-Rejected") == 0 && value_ == "1") neverRan_ = true;
+    if (strcasecmp(field_.c_str(), "X-List-Age-Ms") == 0)
+        listAgeMs_ = std::clamp<std::int64_t>(parse<std::int64_t>(value_).value_or(0), 0, kMaxListAgeMs);
     field_.clear();
     value_.clear();
     valueSeen_ = false;
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -26,6 +26,8 @@
     int status() const { return static_cast<int>(parser_.status_code); }
     bool keepsOpen() const { return keepsOpen_; }
     bool neverRan() const { return neverRan_; }
+    // Of a list, as a distributor tells it in `X-List-Age-Ms`; 0 where nothing is told.
+    std::int64_t listAgeMs() const { return listAgeMs_; }
     std::size_t longLength() const { return longLength_; }  // 0 for one that is kept
     std::string_view piece() const { return piece_; }       // until the next call of `feed`
     std::string& body() { return body_; }
@@ -48,6 +50,7 @@
     bool valueSeen_ = false;
     int interim_ = 0;  // answers of the kind 1xx ahead of the one that counts
     bool neverRan_ = false;
+    std::int64_t listAgeMs_ = 0;
     bool keepsOpen_ = false;
     bool whole_ = false;
 };
