--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "ctl/distributor.hpp"
 #include "ctl/fleet.hpp"
 #include "ctl/instance.hpp"
 #include "ctl/roll.hpp"
@@ -86,6 +87,10 @@
     auto* fleet = app.add_subcommand("fleet", "runs the instances of one description and keeps them running");
     std::string description;
     fleet->add_option("file", description, "the description")->required();
+    auto* distributor = app.add_subcommand("distributor", "the status of a list distributor");
+    std::string distributorAddress;
+    distributor->add_option("address", distributorAddress, "where it listens, as 10.1.0.5:9100")->required();
+    distributor->add_flag("--json", plain, "as it was told");
     auto* roll = app.add_subcommand("roll", "a staged change of program or settings over several machines");
     ::poppyscale::ctl::RollCall rolling;
     roll->add_option("plan", rolling.plan, "the plan")->required();
@@ -103,6 +108,11 @@
             return ::poppyscale::ctl::runRoll(rolling);
         }
         if (*fleet) return ::poppyscale::ctl::keepFleet(::poppyscale::ctl::readDescription(description));
+        if (*distributor) {
+            const json status = ::poppyscale::ctl::distributorStatus(distributorAddress, kPatienceMs);
+            fmt::print("{}", plain ? status.dump(2) + "\n" : ::poppyscale::ctl::distributorTable(status));
+            return 0;
+        }
         const std::string what = app.get_subcommands().front()->get_name();
         json asked{{"do", what}};
         if (!program.empty()) asked["program"] = program;
--- a/src/distribution/distributor.cpp
+++ b/src/distribution/distributor.cpp
@@ -15,11 +15,16 @@
 
 const std::vector<std::pair<std::string_view, Guard>>& guards() {
     static const std::vector<std::pair<std::string_view, Guard>> all{
-        {"version-guard", Guard::versionGuard},  {"older-list", Guard::olderList},
-        {"tombstones", Guard::tombstones},       {"gaps", Guard::gaps},
-        {"fail-over", Guard::failOver},          {"backoff-jitter", Guard::backoffJitter},
-        {"batching", Guard::batching},           {"slow-reader-bound", Guard::slowReaderBound},
-        {"stale-upstream", Guard::staleUpstream}};
+        {"version-guard", Guard::versionGuard},
+        {"older-list", Guard::olderList},
+        {"tombstones", Guard::tombstones},
+        {"gaps", Guard::gaps},
+        {"fail-over", Guard::failOver},
+        {"backoff-jitter", Guard::backoffJitter},
+        {"batching", Guard::batching},
+        {"slow-reader-bound", Guard::slowReaderBound},
+        {"stale-upstream", Guard::staleUpstream},
+        {"ahead-check", Guard::aheadCheck}};
     return all;
 }
 
@@ -40,7 +45,8 @@
       random_(options.seed),
       upstreamDue_(now),
       heardAt_(now),
-      toldOlder_(options.upstreams, false) {}
+      toldOlder_(options.upstreams, false),
+      toldBehind_(options.upstreams, false) {}
 
 // ---- upstreams
 
@@ -54,13 +60,15 @@
 
 void Distributor::ask(Nanos now) {
     upstreamState_ = UpstreamState::asked;
+    beginAheadCheck(now);
     if (askWhole_ || !list_.isKnown()) {
         upstreamDue_ = now + kWholeAnswerWithin;
         return host_.askUpstream(upstream_, std::nullopt, 0);
     }
     // Not all distributors' waits end together; and an upstream that has just failed is not waited for.
     std::uniform_int_distribution<Nanos> jitter(0, options_.upstreamWait / 2);
-    const Nanos wait = probing_ ? 0 : options_.upstreamWait - jitter(random_);
+    const bool mayWait = !probing_ && !checkingAhead_;
+    const Nanos wait = !mayWait ? 0 : options_.upstreamWait - jitter(random_);
     upstreamDue_ = now + wait + kAnswerWithin;
     host_.askUpstream(upstream_, list_.version(), wait);
 }
@@ -82,6 +90,7 @@
     probing_ = false;
     upstreamState_ = UpstreamState::pausing;
     upstreamDue_ = now;  // asked again at once: it parks the call until there is a change
+    continueAheadCheck(now);
 }
 
 void Distributor::accept(Nanos now, ListUpdate update) {
@@ -159,6 +168,58 @@
     return pause - std::uniform_int_distribution<Nanos>(0, pause / 2)(random_);
 }
 
+// ---- versions that readers have and that are newer than the one here
+
+void Distributor::noteAhead(Nanos now, Version after) {
+    const bool isAhead = list_.isKnown() && after > list_.version();
+    if (!isAhead || (ahead_.size() >= kMaxAhead && !ahead_.contains(after))) return;
+    const auto [entry, isNew] = ahead_.try_emplace(after);
+    if (isNew) entry->second.firstAsked = now;
+    entry->second.lastAsked = now;
+}
+
+bool Distributor::isDoubtful(Nanos now, const AheadVersion& ahead) const {
+    return !ahead.lost && now - ahead.firstAsked >= options_.upstreamWait + kAheadPatience;
+}
+
+void Distributor::beginAheadCheck(Nanos now) {
+    if (checkingAhead_ || now < nextAheadCheck_ || !options_.has(Guard::aheadCheck)) return;
+    // Nobody asks with it any more, as far as a reader's longest wait tells.
+    std::erase_if(ahead_,
+                  [now](const auto& entry) { return now - entry.second.lastAsked > 2 * kMaxReaderWait; });
+    checkingAhead_ = std::any_of(ahead_.begin(), ahead_.end(),
+                                 [&](const auto& entry) { return isDoubtful(now, entry.second); });
+    std::fill(toldBehind_.begin(), toldBehind_.end(), false);
+}
+
+// An upstream has just told its newest version, which is the one here.
+void Distributor::continueAheadCheck(Nanos now) {
+    if (!checkingAhead_) return;
+    const bool isRoundOver = toldBehind_[upstream_];  // though another upstream has not been reached
+    toldBehind_[upstream_] = true;
+    const bool allTold = std::find(toldBehind_.begin(), toldBehind_.end(), false) == toldBehind_.end();
+    if (allTold) return endAheadCheck(now);
+    if (isRoundOver) {
+        checkingAhead_ = false;
+        nextAheadCheck_ = now + kAheadPatience;
+        return;
+    }
+    upstream_ = (upstream_ + 1) % options_.upstreams;
+}
+
+void Distributor::endAheadCheck(Nanos now) {
+    checkingAhead_ = false;
+    nextAheadCheck_ = now + kAheadPatience;
+    for (auto& [version, ahead] : ahead_) {
+        if (!isDoubtful(now, ahead)) continue;
+        ahead.lost = true;
+        ++counts_.lostVersions;
+        host_.log("no upstream knows version " + std::to_string(version) +
+                  ", which readers have; the newest is " + std::to_string(list_.version()));
+    }
+    lookAtAll();
+}
+
 // ---- readers
 
 void Distributor::readerConnected(Nanos now, ReaderId id) {
@@ -191,6 +252,7 @@
     reader.since = now;
     reader.request = request;
     reader.request.wait = std::clamp<Nanos>(request.wait, 0, kMaxReaderWait);
+    if (request.after) noteAhead(now, *request.after);
 }
 
 void Distributor::readerSent(Nanos now, ReaderId id, std::size_t unsent) {
@@ -223,10 +285,24 @@
     // A change joins the batch that is not told yet, or begins the next one.
     if (now >= batchDue_) batchDue_ = std::max(now, batchDue_ + options_.batch);
     if (!options_.has(Guard::batching)) batchDue_ = now;
+    ahead_.erase(ahead_.begin(), ahead_.upper_bound(list_.version()));
+    lookAtAll();
+}
+
+void Distributor::lookAtAll() {
     for (auto& [id, reader] : readers_) look(id, reader);
 }
 
-bool Distributor::isOfOldEpoch(Version after) const { return oldEpochVersion_ && after > list_.version(); }
+// When a reader with this version, which is not older than the one here, is told a lower one; mostly never.
+Nanos Distributor::tellsLowerFrom(const Reader& reader, Version after) const {
+    if (after == list_.version()) return kNever;
+    if (!options_.has(Guard::versionGuard)) return reader.since;
+    const auto ahead = ahead_.find(after);
+    if (ahead != ahead_.end() && ahead->second.lost) return reader.since;
+    if (!oldEpochVersion_) return kNever;
+    const Nanos firstAsked = ahead != ahead_.end() ? ahead->second.firstAsked : reader.since;
+    return std::max(firstAsked, epochBeganAt_) + kEpochGrace;
+}
 
 Nanos Distributor::deadlineOf(const Reader& reader) const {
     if (reader.state == ReaderState::idle) return reader.since + kIdleWithin;
@@ -241,9 +317,8 @@
     const Nanos waitIsOver = std::max(reader.since + reader.request.wait, reader.mayAnswerAt);
     if (after < list_.version())
         return std::min(waitIsOver, std::max({reader.since, reader.mayAnswerAt, batchDue_}));
-    if (isOfOldEpoch(after)) return std::min(waitIsOver, std::max(reader.since, epochBeganAt_) + kEpochGrace);
-    const bool tellsLower = after > list_.version() && !options_.has(Guard::versionGuard);
-    return tellsLower ? std::max(reader.since, reader.mayAnswerAt) : waitIsOver;
+    const Nanos lowerFrom = std::max(tellsLowerFrom(reader, after), reader.mayAnswerAt);
+    return std::min(waitIsOver, lowerFrom);
 }
 
 void Distributor::look(ReaderId id, Reader& reader) {
@@ -295,31 +370,32 @@
         told.body = reader.refused ? tooMany : noList;
         return told;
     }
-    told.body = bodyFor(reader.request);
+    told.body = bodyFor(now, reader);
     return told;
 }
 
-SharedBytes Distributor::bodyFor(const ReaderRequest& request) {
-    const auto whole = [this] {
+SharedBytes Distributor::bodyFor(Nanos now, const Reader& reader) {
+    const bool isWhole = !reader.request.after || tellsWhole(now, reader, *reader.request.after);
+    if (isWhole) {
         ++counts_.wholeAnswers;
         return list_.whole();
-    };
-    if (!request.after) return whole();
-    const Version after = *request.after;
-    if (after > list_.version()) {
-        if (!options_.has(Guard::versionGuard)) return ListState::unchanged(list_.version());
-        return isOfOldEpoch(after) ? whole() : ListState::unchanged(after);
     }
-    if (after < list_.version() && !list_.canTellSince(after)) return whole();
+    const Version after = *reader.request.after;
+    if (after > list_.version()) return ListState::unchanged(after);
     ++counts_.deltaAnswers;
     return list_.since(after);
 }
 
+bool Distributor::tellsWhole(Nanos now, const Reader& reader, Version after) const {
+    if (after < list_.version()) return !list_.canTellSince(after);
+    return now >= tellsLowerFrom(reader, after);
+}
+
 Nanos Distributor::listAge(Nanos now) const { return now - heardAt_ + upstreamAge_; }
 
 void Distributor::shutDown(Nanos) {
     shuttingDown_ = true;
-    for (auto& [id, reader] : readers_) look(id, reader);
+    lookAtAll();
 }
 
 void Distributor::reconcile(Nanos now) {
--- a/src/distribution/distributor.hpp
+++ b/src/distribution/distributor.hpp
@@ -17,6 +17,10 @@
 //     is ahead by another distributor's haste is not taken for one of the old epoch. A router refuses such an
 //     answer, asks for the whole list without a version, and takes that. A reader with a version under the
 //     one that the epoch began with gets the whole list.
+//     A distributor that was started after the loss finds it out by its readers: when some ask with one and
+//     the same newer version for longer than the upstreams' wait and `kAheadPatience`, every upstream is
+//     asked in turn, and if each tells an older version, readers with that version are told the whole list in
+//     the same way. Over `kMaxAhead` such versions at once are not looked into.
 //  3. When an upstream fails, the next one is asked, from the version that is here. The pauses between
 //  attempts grow
 //     from 100 ms to 1 s, divided by the number of upstreams and with jitter; the first call to an upstream
@@ -65,6 +69,8 @@
 constexpr Nanos kAnswerWithin = 1 * kSecond;
 constexpr Nanos kWholeAnswerWithin = 2 * kSecond;  // of a whole list
 constexpr Nanos kStaleAfter = 2 * kSecond;
+constexpr Nanos kAheadPatience = 2 * kSecond;
+constexpr std::size_t kMaxAhead = 64;
 constexpr Nanos kMinBackoff = 100 * kMillisecond;
 constexpr Nanos kMaxBackoff = 1 * kSecond;
 constexpr Nanos kDrainWithin = 5 * kSecond;
@@ -83,7 +89,8 @@
     backoffJitter,    // distributors do not come back to an upstream all at once
     batching,         // changes within `batch` are told together
     slowReaderBound,  // a reader that does not take its answers is closed
-    staleUpstream     // an upstream whose own list is old is left
+    staleUpstream,    // an upstream whose own list is old is left
+    aheadCheck        // readers with a version that no upstream knows any more are found out
 };
 // Throws std::runtime_error that lists the names.
 Guard guardNamed(std::string_view name);
@@ -138,7 +145,8 @@
     std::string trouble;  // why the list can't be had from the upstream; empty while it can
     std::size_t upstream = 0;
     std::size_t readers = 0;
-    std::uint64_t epochs = 0;  // begun since the start
+    std::uint64_t epochs = 0;        // begun since the start
+    std::uint64_t lostVersions = 0;  // of readers, that no upstream knew any more
     std::uint64_t answers = 0;
     std::uint64_t wholeAnswers = 0;
     std::uint64_t deltaAnswers = 0;
@@ -185,6 +193,12 @@
         Nanos deadline = kNever;              // the next moment to look at it
     };
     enum class UpstreamState : std::uint8_t { pausing, asked };
+    // A version that readers ask with and that is newer than the one here.
+    struct AheadVersion {
+        Nanos firstAsked = 0;
+        Nanos lastAsked = 0;
+        bool lost = false;  // no upstream knows it
+    };
 
     void superviseUpstream(Nanos now);
     void ask(Nanos now);
@@ -194,15 +208,23 @@
     void retryNext(Nanos now, std::string_view reason);
     Nanos nextPause();
 
+    void noteAhead(Nanos now, Version after);
+    bool isDoubtful(Nanos now, const AheadVersion& ahead) const;
+    void beginAheadCheck(Nanos now);
+    void continueAheadCheck(Nanos now);
+    void endAheadCheck(Nanos now);
+
     void listChanged(Nanos now);
     void look(ReaderId id, Reader& reader);
     Nanos deadlineOf(const Reader& reader) const;
-    bool isOfOldEpoch(Version after) const;
+    Nanos tellsLowerFrom(const Reader& reader, Version after) const;
+    bool tellsWhole(Nanos now, const Reader& reader, Version after) const;
+    void lookAtAll();
     void serveDueReaders(Nanos now);
     void serve(Nanos now, ReaderId id, Reader& reader);
     void answer(Nanos now, ReaderId id, Reader& reader);
     Answer answerFor(Nanos now, const Reader& reader);
-    SharedBytes bodyFor(const ReaderRequest& request);
+    SharedBytes bodyFor(Nanos now, const Reader& reader);
     void startRequest(Nanos now, Reader& reader, const ReaderRequest& request);
     void drop(ReaderId id);
     Nanos listAge(Nanos now) const;
@@ -227,6 +249,12 @@
     std::optional<Version> oldEpochVersion_;  // until the new epoch's versions are past it
     Nanos epochBeganAt_ = 0;
 
+    // Readers' versions that are newer than the one here, and the check whether any upstream knows them.
+    std::map<Version, AheadVersion> ahead_;
+    bool checkingAhead_ = false;
+    std::vector<bool> toldBehind_;  // by upstream, in this check
+    Nanos nextAheadCheck_ = 0;
+
     // The readers.
     std::map<ReaderId, Reader> readers_;
     std::set<std::pair<Nanos, ReaderId>> deadlines_;
--- a/src/distributor/program.cpp
+++ b/src/distributor/program.cpp
@@ -108,6 +108,7 @@
                               {"upstream", settings_.upstreams[status.upstream].name},
                               {"readers", status.readers},
                               {"epochs", status.epochs},
+                              {"lost_versions", status.lostVersions},
                               {"answers", status.answers},
                               {"bytes_sent", readers_.bytesSent()},
                               {"whole_answers", status.wholeAnswers},
