A discovery that is slow to answer is given more time by the distributor

Cause: six copies of the process tests side by side failed in "a slow reader costs itself alone", 18 runs of 18: the stand-in took more than two seconds to write its 9 MB list, the distributor gave it up after two (kWholeAnswerWithin, src/distribution/distributor.hpp) and asked anew, for ever. Any discovery that is slower than the fixed time would never be heard.

Change: when all upstreams in turn have been silent, the time for an answer doubles, up to four times, and stays so until 30 s after the last such failure.

Result: the test of the decisions fails with the guard `patience` left out and passes with it.

--- a/src/distribution/distributor.cpp
+++ b/src/distribution/distributor.cpp
@@ -15,15 +15,11 @@
 
 const std::vector<std::pair<std::string_view, Guard>>& guards() {
     static const std::vector<std::pair<std::string_view, Guard>> all{
-        {"version-guard", Guard::versionGuard},
-        {"older-list", Guard::olderList},
-        {"tombstones", Guard::tombstones},
-        {"gaps", Guard::gaps},
-        {"fail-over", Guard::failOver},
-        {"backoff-jitter", Guard::backoffJitter},
-        {"batching", Guard::batching},
-        {"slow-reader-bound", Guard::slowReaderBound},
-        {"stale-upstream", Guard::staleUpstream},
+        {"version-guard", Guard::versionGuard}, {"older-list", Guard::olderList},
+        {"tombstones", Guard::tombstones},      {"gaps", Guard::gaps},
+        {"fail-over", Guard::failOver},         {"backoff-jitter", Guard::backoffJitter},
+        {"batching", Guard::batching},          {"slow-reader-bound", Guard::slowReaderBound},
+        {"patience", Guard::patience},          {"stale-upstream", Guard::staleUpstream},
         {"ahead-check", Guard::aheadCheck}};
     return all;
 }
@@ -53,23 +49,24 @@
 void Distributor::superviseUpstream(Nanos now) {
     if (shuttingDown_ || now < upstreamDue_) return;
     if (upstreamState_ == UpstreamState::asked)
-        upstreamFailed(now, Failure::unreachable, "no answer in time");
+        upstreamFailed(now, Failure::silent, "no answer in time");
     else
         ask(now);
 }
 
 void Distributor::ask(Nanos now) {
     upstreamState_ = UpstreamState::asked;
+    if (now - silentAt_ > kPatienceKept) answerWithin_ = kAnswerWithin;
     beginAheadCheck(now);
     if (askWhole_ || !list_.isKnown()) {
-        upstreamDue_ = now + kWholeAnswerWithin;
+        upstreamDue_ = now + answerWithin_ * kWholeAnswerFactor;
         return host_.askUpstream(upstream_, std::nullopt, 0);
     }
     // Not all distributors' waits end together; and an upstream that has just failed is not waited for.
     std::uniform_int_distribution<Nanos> jitter(0, options_.upstreamWait / 2);
     const bool mayWait = !probing_ && !checkingAhead_;
     const Nanos wait = !mayWait ? 0 : options_.upstreamWait - jitter(random_);
-    upstreamDue_ = now + wait + kAnswerWithin;
+    upstreamDue_ = now + wait + answerWithin_;
     host_.askUpstream(upstream_, list_.version(), wait);
 }
 
@@ -87,6 +84,7 @@
     if (!trouble_.empty()) host_.log("the list is had from upstream " + std::to_string(upstream_));
     trouble_.clear();
     failures_ = 0;
+    silences_ = 0;
     probing_ = false;
     upstreamState_ = UpstreamState::pausing;
     upstreamDue_ = now;  // asked again at once: it parks the call until there is a change
@@ -146,6 +144,7 @@
     if (upstreamState_ != UpstreamState::asked || shuttingDown_) return;
     // The same changes would be spoilt in the same way again.
     if (failure == Failure::spoilt) askWhole_ = true;
+    if (failure == Failure::silent) noteSilence(now);
     retryNext(now, reason);
 }
 
@@ -159,6 +158,14 @@
     upstreamDue_ = now + nextPause();
 }
 
+void Distributor::noteSilence(Nanos now) {
+    silentAt_ = now;
+    ++silences_;
+    if (silences_ < options_.upstreams || !options_.has(Guard::patience)) return;
+    silences_ = 0;
+    answerWithin_ = std::min(2 * answerWithin_, kMaxAnswerWithin);
+}
+
 Nanos Distributor::nextPause() {
     constexpr int kDoublings = 4;  // past the longest pause
     const Nanos grown = std::min(kMinBackoff << std::min(failures_, kDoublings), kMaxBackoff);
--- a/src/distribution/distributor.hpp
+++ b/src/distribution/distributor.hpp
@@ -28,6 +28,8 @@
 //     out within `kAnswerWithin`. With up to four upstreams a change is told within 5 s of one of them being
 //     reachable. An upstream that goes silent while a call waits at it is found out when the wait is over:
 //     within `upstreamWait` and `kAnswerWithin`.
+//     Where all upstreams in turn have not answered in time, the time grows, to `kMaxAnswerWithin` at most,
+//     and stays so until `kPatienceKept` after the last such failure: a slow discovery is better than none.
 //  4. While no upstream can be reached, readers are answered from what is here. How old it is, counted from
 //  when
 //     an upstream last answered, and why, stand in the status; the age goes with each answer. The age that an
@@ -67,7 +69,9 @@
 constexpr Nanos kEpochGrace = 1 * kSecond;
 // Of an upstream, beyond the wait that it was asked for: by then its answer is whole.
 constexpr Nanos kAnswerWithin = 1 * kSecond;
-constexpr Nanos kWholeAnswerWithin = 2 * kSecond;  // of a whole list
+constexpr Nanos kMaxAnswerWithin = 4 * kSecond;
+constexpr Nanos kPatienceKept = 30 * kSecond;
+constexpr int kWholeAnswerFactor = 2;  // of a whole list
 constexpr Nanos kStaleAfter = 2 * kSecond;
 constexpr Nanos kAheadPatience = 2 * kSecond;
 constexpr std::size_t kMaxAhead = 64;
@@ -89,6 +93,7 @@
     backoffJitter,    // distributors do not come back to an upstream all at once
     batching,         // changes within `batch` are told together
     slowReaderBound,  // a reader that does not take its answers is closed
+    patience,         // where no upstream answers in time, more time is given
     staleUpstream,    // an upstream whose own list is old is left
     aheadCheck        // readers with a version that no upstream knows any more are found out
 };
@@ -167,7 +172,7 @@
 
     // Of the upstream that was asked last.
     void upstreamAnswered(Nanos now, ListUpdate update, Nanos upstreamAge);
-    enum class Failure : std::uint8_t { unreachable, spoilt };
+    enum class Failure : std::uint8_t { unreachable, silent, spoilt };
     void upstreamFailed(Nanos now, Failure failure, std::string_view reason);
 
     // All readers that wait are answered, and each connection ends with its answer.
@@ -207,6 +212,7 @@
     void beginEpoch(Nanos now);
     void retryNext(Nanos now, std::string_view reason);
     Nanos nextPause();
+    void noteSilence(Nanos now);
 
     void noteAhead(Nanos now, Version after);
     bool isDoubtful(Nanos now, const AheadVersion& ahead) const;
@@ -241,6 +247,9 @@
     bool askWhole_ = true;
     bool probing_ = true;  // nothing has been heard since the last failure
     int failures_ = 0;     // in a row
+    Nanos answerWithin_ = kAnswerWithin;
+    std::size_t silences_ = 0;  // in a row, since the time last grew
+    Nanos silentAt_ = 0;        // the last one
     std::string trouble_ = "nothing has been heard yet";
     Nanos heardAt_;
     Nanos upstreamAge_ = 0;
--- a/tests/distribution_test.cpp
+++ b/tests/distribution_test.cpp
@@ -440,6 +440,51 @@
     CHECK(stage.distributor.version() == 5);
 }
 
+TEST_CASE("a discovery that is slow to answer is given the time it needs, and less again when it is quick") {
+    const auto play = [](std::set<Guard> without) {
+        Options options = optionsOf(1, std::move(without));
+        options.upstreamWait = 1 * kSecond;
+        Stage stage(options);
+        stage.upstreamTells(update(1, true, {entryText("a")}));
+        Version version = 1;
+        Nanos toldAt = 0, longest = 0;
+        std::size_t answered = 0;
+        for (int step = 0; step < 1'200; ++step) {
+            stage.pass(50 * ms);
+            // Each answer comes 2.5 s late.
+            const auto asked = stage.lastAsked();
+            const bool isDue = stage.now - asked.at >= asked.wait + 2'500 * ms;
+            if (!isDue || answered == stage.host.asked.size()) continue;
+            answered = stage.host.asked.size();
+            stage.upstreamTells(update(++version, false, {entryText("a", static_cast<int>(version))}));
+            longest = std::max(longest, stage.now - toldAt);
+            toldAt = stage.now;
+        }
+        return stage.now - toldAt < 10 * kSecond && longest < 12 * kSecond;
+    };
+    CHECK(play({}));
+    CHECK_FALSE(play({Guard::patience}));
+    Options options = optionsOf(1);
+    options.upstreamWait = 1 * kSecond;
+    Stage stage(options);
+    stage.upstreamTells(update(1, true, {entryText("a")}));
+    stage.pass(10 * kSecond);  // more than one silence
+    const auto answerInTime = [&](Nanos duration) {
+        for (const Nanos until = stage.now + duration; stage.now < until; stage.pass(100 * ms))
+            if (stage.now - stage.lastAsked().at >= stage.lastAsked().wait)
+                stage.upstreamTells(update(1, false, {}));
+    };
+    const auto isLeftAfter = [&](Nanos time) {
+        stage.upstreamTells(update(1, false, {}));
+        stage.pass(stage.lastAsked().wait + time);
+        return !stage.distributor.status(stage.now).trouble.empty();
+    };
+    answerInTime(kPatienceKept / 2);
+    CHECK_FALSE(isLeftAfter(kMaxAnswerWithin - 1));
+    answerInTime(2 * kPatienceKept);
+    CHECK(isLeftAfter(kAnswerWithin));
+}
+
 TEST_CASE("spoilt changes are not asked for again: the whole list is") {
     Stage stage(optionsOf(1));
     stage.upstreamTells(update(5, true, {entryText("a")}));
