--- a/src/lab/hollow/hollow_router.cpp
+++ b/src/lab/hollow/hollow_router.cpp
@@ -12,6 +12,7 @@
 // As `poppyscale` bounds a call's wait, its connections and the longest list (src/program/program.cpp).
 constexpr Nanos kLeastWait = 1'000 * kMillisecond;
 constexpr Nanos kMostWait = 20'000 * kMillisecond;
+constexpr std::size_t kListPart = 32;  // of the memory, for a list, as in a router
 
 void ignoreLog(std::string_view /*text*/) {}
 
@@ -36,18 +37,21 @@
 }
 
 HollowRouter::HollowRouter(transport::Loop& loop, transport::Pool& pool, std::uint32_t number,
-                           protocol::Start start, int loseEveryList)
+                           protocol::Start start, const std::vector<std::string>& sources, int loseEveryList)
     : loop_(loop), pool_(pool), number_(number), start_(std::move(start)), loseEveryList_(loseEveryList) {
+    for (const std::string& source : sources) {
+        const auto address = transport::parseAddress(source);
+        if (!address) throw std::runtime_error("not an address and port: " + source);
+        sources_.push_back({*address, source});
+    }
     this->start();
 }
 
 void HollowRouter::start() {
     core_ = std::make_unique<ObservedCore>(loop_, pool_, start_, loseEveryList_, number_);
-    const auto address = transport::parseAddress(start_.discovery);
-    if (!address) throw std::runtime_error("not an address and port: " + start_.discovery);
-    watch_ = std::make_unique<routing::Watch>(loop_, pool_, *core_, *address, start_.discovery, 0,
+    watch_ = std::make_unique<routing::Watch>(loop_, pool_, *core_, sources_, start_.terms.seed, 0,
                                               std::clamp(start_.watchFor, kLeastWait, kMostWait),
-                                              start_.terms.seed, start_.memory / 128, ignoreLog);
+                                              start_.terms.seed, start_.memory / kListPart, ignoreLog);
     core_->askForList = [this] { watch_->want(); };
 }
 
--- a/src/lab/hollow/hollow_router.hpp
+++ b/src/lab/hollow/hollow_router.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "lab/hollow/list_image.hpp"
 #include "lab/scale/record.hpp"
@@ -41,8 +42,9 @@
 
 class HollowRouter {
   public:
+    // `sources` are discovery alone or distributors, each ADDRESS:PORT.
     HollowRouter(transport::Loop& loop, transport::Pool& pool, std::uint32_t number, protocol::Start start,
-                 int loseEveryList);
+                 const std::vector<std::string>& sources, int loseEveryList);
 
     // Forgets its list and connects anew, as a new process does.
     void restart();
@@ -61,6 +63,7 @@
     transport::Pool& pool_;
     std::uint32_t number_;
     protocol::Start start_;
+    std::vector<routing::DiscoveryAddress> sources_;
     int loseEveryList_;
     std::unique_ptr<ObservedCore> core_;
     std::unique_ptr<routing::Watch> watch_;
--- a/src/lab/hollow/main.cpp
+++ b/src/lab/hollow/main.cpp
@@ -31,6 +31,7 @@
 constexpr Nanos kSecond = 1'000 * kMillisecond;
 constexpr int kLoseEveryList = 50;  // by the known mistake "apply"
 constexpr std::size_t kPoolBuffers = 4'096;
+constexpr std::size_t kSourcesOfRouter = 3;  // distributors that one router may ask
 
 struct Options {
     std::string
@@ -65,6 +66,7 @@
     void run() { loop_.run(); }
 
   private:
+    std::vector<std::string> sourcesOf(int router) const;
     protocol::Start startOf(int router, const nlohmann::json& configuration) const;
     void turn();
     void begin();
@@ -122,16 +124,25 @@
     for (int i = 0; i < options.routers; ++i) {
         const int router = options.first + i;
         routers_.push_back(std::make_unique<HollowRouter>(loop_, pool_, static_cast<std::uint32_t>(router),
-                                                          startOf(router, configuration), loseEveryList));
+                                                          startOf(router, configuration), sourcesOf(router),
+                                                          loseEveryList));
     }
     loop_.eachTurn([this] { turn(); });
 }
 
+std::vector<std::string> Hollow::sourcesOf(int router) const {
+    const auto& all = options_.upstreams;
+    std::vector<std::string> sources;
+    for (std::size_t i = 0; i < std::min(all.size(), kSourcesOfRouter); ++i)
+        sources.push_back(all[(static_cast<std::size_t>(router) + i) % all.size()]);
+    return sources;
+}
+
 protocol::Start Hollow::startOf(int router, const nlohmann::json& configuration) const {
     nlohmann::json own = configuration;
     own["name"] = fmt::format("hollow-{}", router);
     own["seed"] = fmt::format("{:016x}", options_.seed * 1'000'003 + static_cast<std::uint64_t>(router));
-    own["discovery"] = options_.upstreams[static_cast<std::size_t>(router) % options_.upstreams.size()];
+    own["discovery"] = sourcesOf(router).front();
     own["settings"]["myZone"] = fmt::format("zone-{}", router % options_.zones);
     return protocol::readStart(own.dump());
 }
