--- a/src/lab/scale/scale.cpp
+++ b/src/lab/scale/scale.cpp
@@ -30,7 +30,7 @@
 constexpr Nanos kReadyWithin = 60 * kSecond;
 constexpr Nanos kStopWithin = 20 * kSecond;
 constexpr Nanos kSettleTime = 5 * kSecond;  // after the last change, for what is still under way
-constexpr int kCallsOfSlowReader = 1'000;  // more answers than the kernel buffers take
+constexpr int kCallsOfSlowReader = 1'000;   // more answers than the kernel buffers take
 
 std::int64_t monotonicNow() {
     timespec now{};
