--- a/src/distribution/distributor.hpp
+++ b/src/distribution/distributor.hpp
@@ -3,48 +3,44 @@
 // host brings events with their time and carries out what is asked of it.
 //
 // What a distributor promises to its readers:
-//  1. Versions that a reader is told never fall. A reader whose version is newer than the one here is parked
-//  until
-//     the one here is past it; at the end of its wait it is told that nothing has changed, with its own
-//     version.
-//  2. An upstream's list that is older than the one here is refused, unless every upstream, asked in turn for
-//  its
-//     whole list and with no newer answer by any of them in between, has told an older one: then discovery
-//     has lost what it knew, and a new epoch begins with the newest of those lists. An upstream that can't be
-//     reached says nothing, so no epoch begins before it is back or is taken out of the settings. In a new
-//     epoch, and only until its versions are past those of the old one, a reader whose version is newer than
-//     the one here is told the whole list with its lower version, after `kEpochGrace` at most: a reader that
-//     is ahead by another distributor's haste is not taken for one of the old epoch. A router refuses such an
-//     answer, asks for the whole list without a version, and takes that. A reader with a version under the
-//     one that the epoch began with gets the whole list.
-//     A distributor that was started after the loss finds it out by its readers: when some ask with one and
-//     the same newer version for longer than the upstreams' wait and `kAheadPatience`, every upstream is
-//     asked in turn, and if each tells an older version, readers with that version are told the whole list in
-//     the same way. Over `kMaxAhead` such versions at once are not looked into.
+//  1. Versions that a reader is told never fall. A reader whose version is newer than the one here is
+//     parked until the one here is past it; at the end of its wait it is told that nothing has changed,
+//     with its own version.
+//  2. An upstream's list that is older than the one here is refused, unless every upstream, asked in turn
+//     for its whole list and with no newer answer by any of them in between, has told an older one: then
+//     discovery has lost what it knew, and a new epoch begins with the newest of those lists. An upstream
+//     that can't be reached says nothing, so no epoch begins before it is back or is taken out of the
+//     settings. In a new epoch, and only until its versions are past those of the old one, a reader whose
+//     version is newer than the one here is told the whole list with its lower version, after `kEpochGrace`
+//     at most: a reader that is ahead by another distributor's haste is not taken for one of the old epoch.
+//     A router refuses such an answer, asks for the whole list without a version, and takes that. A reader
+//     with a version under the one that the epoch began with gets the whole list. A distributor that was
+//     started after the loss finds it out by its readers: when some ask with one and the same newer version
+//     for longer than the upstreams' wait and `kAheadPatience`, every upstream is asked in turn, and if
+//     each tells an older version, readers with that version are told the whole list in the same way. Over
+//     `kMaxAhead` such versions at once are not looked into.
 //  3. When an upstream fails, the next one is asked, from the version that is here. The pauses between
-//  attempts grow
-//     from 100 ms to 1 s, divided by the number of upstreams and with jitter; the first call to an upstream
-//     after a failure does not wait for a change, so that one which takes connections and is silent is found
-//     out within `kAnswerWithin`. With up to four upstreams a change is told within 5 s of one of them being
-//     reachable. An upstream that goes silent while a call waits at it is found out when the wait is over:
-//     within `upstreamWait` and `kAnswerWithin`.
-//     Where all upstreams in turn have not answered in time, the time grows, to `kMaxAnswerWithin` at most,
-//     and stays so until `kPatienceKept` after the last such failure: a slow discovery is better than none.
+//     attempts grow from 100 ms to 1 s, divided by the number of upstreams and with jitter; the first call
+//     to an upstream after a failure does not wait for a change, so that one which takes connections and is
+//     silent is found out within `kAnswerWithin`. With up to four upstreams a change is told within 5 s of
+//     one of them being reachable. An upstream that goes silent while a call waits at it is found out when
+//     the wait is over: within `upstreamWait` and `kAnswerWithin`. Where all upstreams in turn have not
+//     answered in time, the time grows, to `kMaxAnswerWithin` at most, and stays so until `kPatienceKept`
+//     after the last such failure: a slow discovery is better than none.
 //  4. While no upstream can be reached, readers are answered from what is here. How old it is, counted from
-//  when
-//     an upstream last answered, and why, stand in the status; the age goes with each answer. The age that an
-//     upstream tells of its own list is added. An upstream whose list is older than `kStaleAfter` beyond its
-//     wait counts as failed, though what it tells is taken.
+//     when an upstream last answered, and why, stand in the status; the age goes with each answer. The age
+//     that an upstream tells of its own list is added. An upstream whose list is older than `kStaleAfter`
+//     beyond its wait counts as failed, though what it tells is taken.
 //  5. Before there is a list, and over the bound on readers, a reader is answered 503 with a time to retry
-//  after.
+//     after.
 //  6. Changes within `batch` are told together, and no reader is answered more often than once in `batch`.
 //  7. A reader that does not take its answer costs itself alone: it is answered nothing more before it has,
-//  and it
-//     is closed after `kDrainWithin`, or after `kOverUnsentWithin` with more than `maxUnsent` bytes to take.
+//     and it is closed after `kDrainWithin`, or after `kOverUnsentWithin` with more than `maxUnsent` bytes
+//     to take.
 //
 // What is told is the upstream's own versions, so a reader may go from one distributor to another and on. A
-// discovery that loses what it knew and is past the old version before anybody asks it can't be told from one
-// that did not.
+// discovery that loses what it knew and is past the old version before anybody asks it can't be told from
+// one that did not.
 #pragma once
 
 #include <cstddef>
--- a/src/distributor/settings.cpp
+++ b/src/distributor/settings.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr int kMaxUpstreams = 16;
+// A silent upstream is found out when its call's wait is over; the rest of 5 s is left for another one's
+// answer.
+constexpr int kDefaultWaitMs = 3'000;
 
 transport::Address readAddress(text::Table& table, std::string_view key, const std::string& written) {
     if (const auto address = transport::parseAddress(written)) return *address;
@@ -31,7 +34,7 @@
     settings.listen = table.text("listen", std::nullopt);
     if (table.has("listen")) settings.listenAddress = readAddress(table, "listen", settings.listen);
     readUpstreams(table, settings);
-    options.upstreamWait = table.whole("wait_ms", 10'000, 100, 60'000) * kMillisecond;
+    options.upstreamWait = table.whole("wait_ms", kDefaultWaitMs, 100, 60'000) * kMillisecond;
     options.batch = table.whole("batch_ms", 50, 1, 5'000) * kMillisecond;
     options.maxReaders = static_cast<std::size_t>(table.whole("max_readers", 4096, 1, 1'000'000));
     options.maxUnsent = static_cast<std::size_t>(table.whole("max_unsent_kib", 1024, 16, 1024 * 1024)) * 1024;
--- a/src/lab/scale/processes.cpp
+++ b/src/lab/scale/processes.cpp
@@ -16,7 +16,7 @@
 
 constexpr int kRouterMemoryMb = 256;  // of which 1/128 is the longest list that a router takes
 constexpr int kRouterDescriptors = 256;
-constexpr int kDistributorWaitMs = 10'000;
+constexpr int kDistributorWaitMs = 3'000;  // as by default
 constexpr int kDistributorBatchMs = 50;
 constexpr std::int64_t kAskWithinUs = 5'000'000;
 
--- a/src/sources/selector.hpp
+++ b/src/sources/selector.hpp
@@ -3,11 +3,10 @@
 //
 // What it promises:
 // - Stickiness: the current source changes only by a failure of the current source.
-// - Spread: the order in which sources are asked is drawn from the router's seed, so that routers spread over
-//   the sources, and those that lose one spread over the others.
+// - Spread: the order in which sources are asked is drawn from the router's seed, so that routers spread
+//   over the sources, and those that lose one spread over the others.
 // - Jitter: the pause after a loss is drawn from kLossJitter, so that routers that lose a source together
-// don't
-//   arrive at another one together.
+//   don't arrive at another one together.
 // - Bound: with any one of the sources alive, its answer is had within kRecoveryBound of the failure being
 //   noticed, if each attempt ends within the timeout it is given and the living source answers within it.
 //   This holds for the first round of an outage, in which each source is asked once, the lost one last.
