Of a list's key that is there twice the last one holds, spoilt entries of the first notwithstanding

Cause: the whole run of the tests failed in distribution_test (an entry's text is passed on as it came): reading entry by entry (RosterReader, protocol/discovery.cpp) threw at a spoilt entry of a key "servers" that a later one replaces; read as a whole it did not. Change: what is wrong is kept with the entries that it belongs to, and told at the end if these hold.

--- a/src/protocol/discovery.cpp
+++ b/src/protocol/discovery.cpp
@@ -78,6 +78,7 @@
         roster_.version = json.at("version").get<std::int64_t>();
         roster_.full = json.at("full").get<bool>();
         if (!json.at("servers").is_array()) throw Malformed("servers is not a list");
+        if (!problem_.empty()) throw Malformed(problem_);
         return std::move(roster_);
     }
 
@@ -96,18 +97,32 @@
 
     bool keepsKey(const Json& key) {
         inServers_ = key == "servers";
-        if (inServers_) roster_.places.clear();  // of one key twice the last one holds
+        if (inServers_) {  // of one key twice the last one holds
+            roster_.places.clear();
+            problem_.clear();
+        }
         return inServers_ || key == "version" || key == "full";
     }
 
     // An entry is taken at its end, and dropped from the tree.
     bool keepsServer(Event event, const Json& entry) {
         if (event == Event::object_start) return true;
-        if (event != Event::object_end) throw Malformed("an entry that is not an object");
-        roster_.places.push_back(placeOf(entry, false));
+        if (event != Event::object_end)
+            problem_ = "an entry that is not an object";
+        else
+            takeServer(entry);
         return false;
     }
 
+    // What is wrong is only told at the end: a later list of servers may hold in place of this one.
+    void takeServer(const Json& entry) {
+        try {
+            roster_.places.push_back(placeOf(entry, false));
+        } catch (const std::exception& problem) {
+            problem_ = problem.what();
+        }
+    }
+
     static bool isFieldOfEntry(std::string_view name) {
         return std::find(kFields.begin(), kFields.end(), name) != kFields.end();
     }
@@ -115,6 +130,7 @@
     static constexpr std::array<std::string_view, 8> kFields{"id",   "state",  "zone", "kind",
                                                              "cell", "weight", "addr", "started_ms"};
     Roster roster_;
+    std::string problem_;  // with the entries of the list that holds so far
     bool inServers_ = false;
 };
 
