--- a/src/lab/scale/capacity.cpp
+++ b/src/lab/scale/capacity.cpp
@@ -391,7 +391,7 @@
         case Mechanism::hotRestart:
             return "hot restart (built)";
         case Mechanism::listDistributors:
-            return "list distributors (missing: \"Capacity\")";
+            return "list distributors (built)";
         case Mechanism::scopedView:
             return "scoped view, bounded connections (missing: \"Connections and retries\")";
         case Mechanism::boundedChoice:
