--- a/src/distributor/program.cpp
+++ b/src/distributor/program.cpp
@@ -43,8 +43,8 @@
         files.rlim_cur = std::min(needed, files.rlim_max);
         setrlimit(RLIMIT_NOFILE, &files);
         if (files.rlim_cur < needed)
-            log(fmt::format("the system gives {} descriptors, max_readers asks for {}", files.rlim_cur,
-                            needed));
+            logger_.info(fmt::format("the system gives {} descriptors, max_readers asks for {}",
+                                     files.rlim_cur, needed));
     }
     readers_.attach(distributor_);
     const std::string problem = readers_.listen(settings.listenAddress);
--- a/src/lab/live/live.cpp
+++ b/src/lab/live/live.cpp
@@ -66,7 +66,8 @@
 
 // The time that an attempt's info list tells, in ms; none if it has no such item or that is no number.
 std::optional<std::int64_t> timeTold(std::string_view info) {
-    return protocol::parse<std::int64_t>(itemOf(info, "d"));
+    const std::string told = itemOf(info, "d");
+    return protocol::parse<std::int64_t>(told);
 }
 
 CommandId idOf(std::string_view text) { return protocol::parse<std::uint64_t>(text, 16).value_or(0); }
