--- a/src/lab/live/live.cpp
+++ b/src/lab/live/live.cpp
@@ -54,11 +54,12 @@
     return fmt::format("{}:{}", name, ntohs(a.sin_port));
 }
 
-std::string itemOf(std::string_view info, std::string_view name) {
+// The value of an item of an info list; empty if there is none. It lies within `info`.
+std::string_view itemOf(std::string_view info, std::string_view name) {
     while (!info.empty()) {
         const auto item = info.substr(0, info.find(','));
         if (item.starts_with(name) && item.size() > name.size() && item[name.size()] == '=')
-            return std::string(item.substr(name.size() + 1));
+            return item.substr(name.size() + 1);
         info.remove_prefix(std::min(info.size(), item.size() + 1));
     }
     return "";
@@ -66,8 +67,7 @@
 
 // The time that an attempt's info list tells, in ms; none if it has no such item or that is no number.
 std::optional<std::int64_t> timeTold(std::string_view info) {
-    const std::string told = itemOf(info, "d");
-    return protocol::parse<std::int64_t>(told);
+    return protocol::parse<std::int64_t>(itemOf(info, "d"));
 }
 
 CommandId idOf(std::string_view text) { return protocol::parse<std::uint64_t>(text, 16).value_or(0); }
