--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 test: install-packages
 	cmake -B build-test -DPOPPYSCALE_TESTS=ON -DCMAKE_BUILD_TYPE=Debug
 	cmake --build build-test -j8
-	ctest --test-dir build-test --output-on-failure
+	ctest --test-dir build-test --output-on-failure -j4
 
 lint:
 	clang-format-14 --dry-run --Werror $(SOURCES)
