--- a/tests/lab_world_test.cpp
+++ b/tests/lab_world_test.cpp
@@ -1,6 +1,7 @@
 // Stories of the lab's world, its audit and its scenarios: no sockets, no clock.
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -8,6 +9,7 @@
 
 #include "lab/model/machine.hpp"
 #include "lab/model/scenario.hpp"
+#include "lab/report/cold_load.hpp"
 #include "lab/report/judge.hpp"
 #include "lab/sim/sim.hpp"
 #include "protocol/discovery.hpp"
@@ -74,8 +76,9 @@
     void asked(Nanos at, std::uint64_t command, const char* verb) {
         say(at, What::asked, command, -1, 0, at + 1'000 * ms, std::string(verb) + " alder k1 1 1");
     }
-    void sent(Nanos at, std::uint64_t command, int server, std::uint64_t run, Nanos work = ms) {
-        say(at, What::sent, command, server, run, work, "");
+    void sent(Nanos at, std::uint64_t command, int server, std::uint64_t run, Nanos work = ms,
+              const std::string& told = "") {
+        say(at, What::sent, command, server, run, work, told);
     }
     void ended(Nanos at, std::uint64_t command, int server, std::uint64_t run, const char* how) {
         say(at, What::ended, command, server, run, 0, how);
@@ -363,6 +366,111 @@
     CHECK(t.broken() == "drain");
 }
 
+TEST_CASE("the audit: an attempt tells at most 0.15 s more than is left to the client") {
+    // What 500 ms before its client's limit tells that so much is left, read so long after it came.
+    const auto judged = [](int server, const std::string& told) {
+        Told t;
+        t.asked(0, 1, "read");
+        t.sent(500 * ms, 1, server, 11, ms, told);
+        t.ended(510 * ms, 1, server, 11, "value v11");
+        return t.broken();
+    };
+    for (const int server : {0, 1}) {
+        CHECK(judged(server, "d=500 held=0") == "");
+        CHECK(judged(server, "d=650 held=0") == "");
+        CHECK(judged(server, "d=651 held=0") == "time");
+        CHECK(judged(server, "d=9223372036854775807 held=0") == "time");
+        CHECK(judged(server, "") == "");  // nothing was told
+        CHECK(judged(server, "d=750 held=100") == "");
+        CHECK(judged(server, "d=751 held=100") == "time");
+    }
+}
+
+TEST_CASE("the audit: on a machine whose clock goes wrong no process is blamed for the time it tells") {
+    for (const std::string fault : {"clock_rate", "machine_sleep", "crash"}) {
+        nlohmann::json head{{"slack", 50 * ms},
+                            {"grace", 500 * ms},
+                            {"machines", 1},
+                            {"longest", 1'000 * ms},
+                            {"cold", {{"span", 1'000 * ms}, {"ramp", 5'000 * ms}}},
+                            {"verbs", {{{"name", "read"}, {"effect", 0}, {"group", 0}, {"remembered", 0}}}}};
+        Audit audit(head);
+        const auto say = [&](Nanos at, What what, std::uint64_t command, std::int64_t number,
+                             const std::string& text) {
+            audit.see({at, what, command, 0, 0, command, number, text});
+        };
+        say(0, What::server, 0, 0, "origin north 0 origin 8");
+        say(100 * ms, What::fault, 0, 0, "begins " + fault + " ");
+        say(200 * ms, What::fault, 0, 0, "ends " + fault + " ");
+        for (const Nanos asked : {50 * ms, 2'000 * ms}) {
+            const auto command = static_cast<std::uint64_t>(asked);
+            say(asked, What::asked, command, asked + 1'000 * ms, "read alder k1 1 1");
+            say(asked + 500 * ms, What::sent, command, ms, "d=1000 held=0");
+            say(asked + 510 * ms, What::ended, command, 0, "value v1");
+        }
+        std::string broken;
+        for (const Breach& b : audit.finish()) broken += " " + b.rule;
+        CHECK(broken == (fault == "crash" ? " time time" : " time"));
+    }
+}
+
+TEST_CASE("work at a cold cache is summed over all routers that know of its start, beside what it may get") {
+    // Capacity 4, of which a cold one has half: with tip 2 and a span of 1 s it may get 4 s of work.
+    nlohmann::json head{
+        {"cold", {{"share", 0.5}, {"ramp", 1'000'000 * ms}, {"tip", 2.0}, {"span", 1'000 * ms}}}};
+    ColdLoad load(head);
+    const auto see = [&](Nanos at, What what, int router, int server, std::int64_t number,
+                         const std::string& text) {
+        load.see({at, what, 0, router, server, 0, number, text});
+    };
+    const auto sent = [&](Nanos at, int router, int server) {
+        see(at, What::sent, router, server, 40 * ms, "");
+    };
+    see(0, What::server, -1, 0, 0, "origin north 0 origin 8");
+    see(0, What::server, -1, 1, 0, "cache-0 north 0 cache 4");
+    sent(1 * ms, 0, 1);  // it is warm
+    CHECK(load.servers() == 0);
+    CHECK(load.largestExcess() == 0);
+    see(5 * ms, What::started, -1, 1, 5 * ms, "");
+    sent(6 * ms, 0, 1);  // not told yet
+    for (const int router : {0, 1, 2}) see(7 * ms, What::listed, router, 1, 5 * ms, "ready");
+    for (int i = 0; i < 60; ++i) sent((10 + i) * ms, i % 3, 1);
+    for (int i = 0; i < 60; ++i) sent((10 + i) * ms, i % 3, 0);  // the origin is never cold
+    CHECK(load.servers() == 1);
+    CHECK(load.untoldShare() == doctest::Approx(1.0 / 61));
+    CHECK(load.largest().sent == doctest::Approx(60));
+    CHECK(load.largest().allowed == doctest::Approx(100).epsilon(0.01));
+    CHECK(load.largestExcess() < 0);
+    for (int i = 0; i < 62; ++i) sent(500 * ms, i % 3, 1);  // 122 in a span: 2 * sqrt(100) + 2 more than 100
+    CHECK(load.largest().sent == doctest::Approx(122));
+    CHECK(load.largestExcess() == doctest::Approx(1).epsilon(0.01));
+    sent(2'000 * ms, 0, 1);  // the others are over a span ago
+    CHECK(load.largest().sent == doctest::Approx(122));
+    see(2'001 * ms, What::fell, -1, 1, 0, "");
+    see(2'002 * ms, What::fell, -1, 0, 0, "");
+    CHECK(load.falls() == 1);
+    see(2'003 * ms, What::killed, 0, -1, 0, "asked");
+    sent(2'004 * ms, 0, 1);  // its next process was told nothing yet
+    CHECK(load.untoldShare() == doctest::Approx(2.0 / 125));
+}
+
+TEST_CASE("thirty routers share the budget of a cold cache; with a whole budget each they break its bounds") {
+    const Scenario s = parseScenario(fileText(SCENARIOS "/cold-thirty.toml"), "cold-thirty.toml");
+    const auto play = [&](const SimWanted& wanted) {
+        Judge judge;
+        Ledger ledger;
+        judge.follow(ledger);
+        simulate(s, 1, ledger, wanted);
+        return judge.verdict();
+    };
+    CHECK(play({}).empty());
+    SimWanted wholeBudget;
+    wholeBudget.mistake = [](Terms& terms) { terms.tipMultiple *= terms.routers; };
+    const auto broken = play(wholeBudget);
+    for (const char* bound : {"bound-cold_load", "bound-cold_excess"})
+        CHECK(std::find(broken.begin(), broken.end(), bound) != broken.end());
+}
+
 TEST_CASE("the audit: a cold cache that goes down counts when two thirds came from who knew") {
     for (const bool knew : {true, false}) {
         Told t;
