--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "ctl/distributor.hpp"
 #include "ctl/fleet.hpp"
 #include "ctl/instance.hpp"
 #include "ctl/roll.hpp"
@@ -25,8 +26,14 @@
     fmt::print("{} commands open, {} clients, {} connections to caches and origin, {} reloads{}\n\n",
                s["open"].get<int>(), s["clients"].get<int>(), s["links"].get<int>(), s["reloads"].get<int>(),
                s["upgrading"].get<bool>() ? ", an upgrade is under way" : "");
-    // One of before knows no such key.
-    if (const auto trouble = s.value("/list/trouble"_json_pointer, std::string()); !trouble.empty())
+    // One of before knows no such keys.
+    const auto trouble = s.value("/list/trouble"_json_pointer, std::string());
+    const auto source = s.value("/list/source"_json_pointer, std::string());
+    if (!source.empty())
+        fmt::print("the list is asked of {}, one of {}; last heard of {:.1f} s ago{}{}\n\n", source,
+                   s.value("/list/sources"_json_pointer, 1), s.value("/list/age_ms"_json_pointer, 0.0) / 1e3,
+                   trouble.empty() ? "" : "; it can't be had: ", trouble);
+    else if (!trouble.empty())
         fmt::print("the list can't be had from discovery: {}; last heard of {:.1f} s ago\n\n", trouble,
                    s.value("/list/age_ms"_json_pointer, 0.0) / 1e3);
     fmt::print("{}", s["described"].get<std::string>());
@@ -86,6 +93,10 @@
     auto* fleet = app.add_subcommand("fleet", "runs the instances of one description and keeps them running");
     std::string description;
     fleet->add_option("file", description, "the description")->required();
+    auto* distributor = app.add_subcommand("distributor", "the status of a list distributor");
+    std::string distributorAddress;
+    distributor->add_option("address", distributorAddress, "where it listens, as 10.1.0.5:9100")->required();
+    distributor->add_flag("--json", plain, "as it was told");
     auto* roll = app.add_subcommand("roll", "a staged change of program or settings over several machines");
     ::poppyscale::ctl::RollCall rolling;
     roll->add_option("plan", rolling.plan, "the plan")->required();
@@ -103,6 +114,11 @@
             return ::poppyscale::ctl::runRoll(rolling);
         }
         if (*fleet) return ::poppyscale::ctl::keepFleet(::poppyscale::ctl::readDescription(description));
+        if (*distributor) {
+            const json status = ::poppyscale::ctl::distributorStatus(distributorAddress, kPatienceMs);
+            fmt::print("{}", plain ? status.dump(2) + "\n" : ::poppyscale::ctl::distributorTable(status));
+            return 0;
+        }
         const std::string what = app.get_subcommands().front()->get_name();
         json asked{{"do", what}};
         if (!program.empty()) asked["program"] = program;
--- /dev/null
+++ b/src/lab/hollow/hollow_router.hpp
@@ -0,0 +1,76 @@
+// A hollow router: the list watch, the core and the decision module of a real one, without clients.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lab/hollow/list_image.hpp"
+#include "lab/scale/record.hpp"
+#include "protocol/discovery.hpp"
+#include "routing/core.hpp"
+#include "routing/watch.hpp"
+#include "transport/loop.hpp"
+#include "transport/pool.hpp"
+
+namespace poppyscale::lab::hollow {
+
+// The core itself, and what it was handed.
+class ObservedCore : public routing::Core {
+  public:
+    // By a known mistake every `loseEveryList`th list of changes is lost, 0 for none. `listsBefore` of them
+    // are taken as counted, so that not all routers lose the same.
+    ObservedCore(transport::Loop& loop, transport::Pool& pool, const protocol::Start& start,
+                 int loseEveryList, std::uint64_t listsBefore);
+
+    void listed(NewsKind kind, const protocol::Roster& roster) override;
+
+    // Of the list that was handed over last; 0 without one.
+    std::int64_t version() const { return version_; }
+    std::uint64_t digest() const { return image_.digest(); }
+    // Whether the decision module holds the servers that it was handed.
+    bool moduleAgrees() { return image_.agrees(beliefs()); }
+
+  private:
+    ListImage image_;
+    std::int64_t version_ = 0;
+    int loseEveryList_;
+    std::uint64_t lists_;
+};
+
+class HollowRouter {
+  public:
+    // `sources` are discovery alone or distributors, each ADDRESS:PORT.
+    HollowRouter(transport::Loop& loop, transport::Pool& pool, std::uint32_t number, protocol::Start start,
+                 const std::vector<std::string>& sources, int loseEveryList);
+
+    // Forgets its list and connects anew, as a new process does.
+    void restart();
+    // What a turn of a real router's loop does. A record where another list is in force after it.
+    std::optional<scale::ForceRecord> turn();
+
+    bool hasList() const { return inForce_ > 0; }
+    bool moduleAgrees() { return core_->moduleAgrees(); }
+    std::uint64_t versionsFallen() const { return fallen_; }
+    std::uint64_t calls() const { return callsBefore_ + watch_->calls(); }
+
+  private:
+    void start();
+
+    transport::Loop& loop_;
+    transport::Pool& pool_;
+    std::uint32_t number_;
+    protocol::Start start_;
+    std::vector<routing::DiscoveryAddress> sources_;
+    int loseEveryList_;
+    std::unique_ptr<ObservedCore> core_;
+    std::unique_ptr<routing::Watch> watch_;
+    std::int64_t inForce_ = 0;  // version
+    std::int64_t highest_ = 0;
+    std::uint64_t fallen_ = 0;
+    std::uint64_t callsBefore_ = 0;
+};
+
+}  // namespace poppyscale::lab::hollow
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -25,6 +25,10 @@
 #include "lab/report/experiment.hpp"
 #include "lab/report/figures.hpp"
 #include "lab/report/judge.hpp"
+#include "lab/scale/capacity.hpp"
+#include "lab/scale/command.hpp"
+#include "lab/scale/measure.hpp"
+#include "lab/scale/slopes.hpp"
 #include "lab/sim/leases.hpp"
 #include "lab/sim/roll.hpp"
 #include "lab/sim/sim.hpp"
@@ -152,6 +156,16 @@
     return kept ? kKept : kBroken;
 }
 
+int printCapacity(const std::string& targetFile, const std::string& slopesFile) {
+    try {
+        fmt::print("{}", scale::capacityOfFiles(targetFile, slopesFile));
+        return kKept;
+    } catch (const scale::BadInput& problem) {
+        fmt::print(stderr, "{}\n", problem.what());
+        return kBroken;
+    }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -253,8 +267,56 @@
     leasing->add_option("--faults", leases.faults, "all, none, loss, flap, restart or holders")
         ->check(CLI::IsMember({"all", "none", "loss", "flap", "restart", "holders"}));
     leasing->add_option("--without", guard, "a guard that is left out, and has to be missed");
+    auto* measuring = app.add_subcommand(
+        "measure-module", "what the decision module costs by the number of caches, with a prediction");
+    scale::ModuleSeries module;
+    measuring->add_option("--caches", module.sizes, "100,200,400,600,775 without it")
+        ->delimiter(',')
+        ->check(CLI::Range(2, 100'000));
+    measuring->add_option("--seeds", module.seeds, "3 without it")->check(CLI::Range(1, 20));
+    measuring->add_option("--factor", module.factor, "of the largest size, for the prediction; 4 without it")
+        ->check(CLI::Range(0, 20));
+    measuring->add_option("--zones", module.options.zones, "10 without it")->check(CLI::Range(1, 1000));
+    measuring->add_option("--requests", module.options.requests, "40000 without it")
+        ->check(CLI::Range(100, 10'000'000));
+    auto* sloping = app.add_subcommand(
+        "slopes", "scale runs at growing routers, caches or rate of changes, with a prediction");
+    scale::SlopeSeries series;
+    double slopeSeconds = 10;
+    using scale::Varied;
+    sloping->add_option("--what", series.varied, "routers, caches or rate: of list changes")
+        ->required()
+        ->transform(CLI::Transformer(std::map<std::string, Varied>{
+            {"routers", Varied::routers}, {"caches", Varied::caches}, {"rate", Varied::rate}}));
+    sloping->add_option("--sizes", series.sizes, "50..250 routers, 150..750 caches, 1..5 a second without it")
+        ->delimiter(',')
+        ->check(CLI::Range(0.1, 10'000.0));
+    sloping->add_option("--seeds", series.seeds, "3 without it")->check(CLI::Range(1, 20));
+    sloping->add_option("--factor", series.factor, "of the largest size, for the prediction; 4 without it")
+        ->check(CLI::Range(0, 20));
+    series.options.hollowRouters = 100;
+    series.options.caches = 300;
+    series.options.zones = 10;
+    series.options.changesPerSecond = 1;
+    sloping->add_option("--routers", series.options.hollowRouters, "100 without it")
+        ->check(CLI::Range(1, 10'000));
+    sloping->add_option("--caches", series.options.caches, "300 without it")->check(CLI::Range(1, 100'000));
+    sloping->add_option("--zones", series.options.zones, "10 without it")->check(CLI::Range(1, 1'000));
+    sloping->add_option("--rate", series.options.changesPerSecond, "of list changes a second, 1 without it")
+        ->check(CLI::Range(0.0, 1'000.0));
+    sloping->add_option("--distributors", series.options.distributors, "0 without it: routers ask discovery")
+        ->check(CLI::Range(0, 100));
+    sloping->add_option("--seconds", slopeSeconds, "that each run measures, 10 without it")
+        ->check(CLI::Range(0.1, 3600.0));
+    sloping->add_option("--out", series.options.folder, "a folder for the runs' files")->required();
+    auto* capacity = app.add_subcommand("capacity", "what each role costs at a target, beside its budget");
+    std::string targetFile = "docs/capacity-target.toml";
+    std::string slopesFile = "docs/capacity-slopes.toml";
+    capacity->add_option("--target", targetFile, "docs/capacity-target.toml without it");
+    capacity->add_option("--slopes", slopesFile, "docs/capacity-slopes.toml without it");
     auto* audit = app.add_subcommand("audit", "judges a log again");
     std::string dir;
+    scale::Command scaling(app);
     audit->add_option("dir", dir, "the folder of a run")->required();
     try {
         app.parse(argc, argv);
@@ -262,6 +324,7 @@
         return app.exit(problem) == 0 ? kKept : kUsage;
     }
     try {
+        if (const auto code = scaling.run()) return *code;
         if (*comparing) {
             std::vector<Scenario> scenarios;
             for (const auto& file : files)
@@ -292,6 +355,12 @@
             if (!guard.empty()) leases.without = {lease::guardNamed(guard)};
             return leaseIt(leases);
         }
+        if (*sloping) {
+            series.options.length = static_cast<Nanos>(slopeSeconds * 1e9);
+            return scale::playSlopes(series, scale::play) ? kKept : kBroken;
+        }
+        if (*capacity) return printCapacity(targetFile, slopesFile);
+        if (*measuring) return scale::measureSeries(module) ? kKept : kBroken;
         if (*exploring) return explore(look) ? kKept : kBroken;
         if (*audit) return judgeAgain(dir) ? kKept : kBroken;
     } catch (const std::exception& problem) {
