--- a/src/routing/watch.cpp
+++ b/src/routing/watch.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace poppyscale::routing {
@@ -95,6 +96,8 @@
 
 void Watch::call() {
     answer_.clear();
+    callBegan_ = transport::Loop::now();
+    callBytes_ = 0;
     if (connection_) return write();
     state_ = State::connecting;
     limit_.set(transport::Loop::now() + (isProbing() ? several_->selector.attemptTimeout() : kConnecting));
@@ -129,6 +132,7 @@
 void Watch::received(std::string_view bytes) {
     if (state_ == State::resting) return connection_.reset();
     const bool begins = state_ == State::waiting;
+    callBytes_ += bytes.size();
     state_ = State::reading;
     // A whole list may be long; what is newer is short, and a source that is tried has its limit.
     if (begins && (anew_ || !isProbing())) limit_.set(transport::Loop::now() + kAnswer);
@@ -190,7 +194,15 @@
     trouble_ = several_ ? fmt::format("{}: {}", host_, why) : std::string(why);
     if (several_) return;  // told with the move to the next source
     const auto age = (transport::Loop::now() - heardAt_) / kMillisecond;
-    log_(fmt::format("the list could not be had from discovery: {}; last heard of {} ms ago", why, age));
+    log_(fmt::format("the list could not be had from discovery: {}; last heard of {} ms ago; {}", why, age,
+                     describeCall()));
+}
+
+std::string Watch::describeCall() const {
+    static constexpr std::array<std::string_view, 4> kStates{"resting", "connecting", "waiting", "reading"};
+    return fmt::format("call {} began {} ms ago, {}, {} bytes", calls_,
+                       (transport::Loop::now() - callBegan_) / kMillisecond,
+                       kStates[static_cast<std::size_t>(state_)], callBytes_);
 }
 
 void Watch::fail(std::string_view why) {
--- a/src/routing/watch.hpp
+++ b/src/routing/watch.hpp
@@ -65,6 +65,8 @@
     Nanos jittered(Nanos longest);
     void silent();
     void note(std::string_view why);
+    // How far the call got: its number, how long ago it began, in which state it is, what has come of it.
+    std::string describeCall() const;
     void fail(std::string_view why);
 
     void setSources(std::vector<DiscoveryAddress> sources);
@@ -85,6 +87,8 @@
     std::uint64_t sourceSeed_;
     std::mt19937 chance_;
     std::uint64_t calls_ = 0;
+    Nanos callBegan_ = 0;        // when the call that is out, or ended last, was begun
+    std::size_t callBytes_ = 0;  // of its answer
     Log log_;
     std::string trouble_;
     Nanos heardAt_;
