--- a/src/lab/faults/plan.hpp
+++ b/src/lab/faults/plan.hpp
@@ -6,6 +6,8 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
+#include <string_view>
 
 namespace poppyscale::lab::faults {
 
@@ -50,6 +52,25 @@
 };
 constexpr std::size_t kWays = static_cast<std::size_t>(Way::count);
 
+// As scenarios and reports name them, in the order of the enumerations.
+constexpr std::string_view kCallNames[kCalls]{"accept", "socket", "connect", "bind", "listen",
+                                              "read",   "write",  "poll",    "open", "file_write",
+                                              "sync",   "rename", "random"};
+constexpr std::string_view kWayNames[kWays]{
+    "none",        "EINTR",        "ECONNABORTED", "ENFILE", "ENOBUFS", "ENOMEM", "EADDRNOTAVAIL",
+    "ENETUNREACH", "EHOSTUNREACH", "ETIMEDOUT",    "EAGAIN", "ENOSPC",  "EIO",    "partial"};
+
+constexpr std::optional<Call> callNamed(std::string_view name) {
+    for (std::size_t i = 0; i < kCalls; ++i)
+        if (kCallNames[i] == name) return static_cast<Call>(i);
+    return std::nullopt;
+}
+constexpr std::optional<Way> wayNamed(std::string_view name) {
+    for (std::size_t i = 1; i < kWays; ++i)
+        if (kWayNames[i] == name) return static_cast<Way>(i);
+    return std::nullopt;
+}
+
 constexpr std::uint32_t kOne = 1U << 20;  // a share of one
 
 struct Plan {
--- a/src/lab/faults/preload.cpp
+++ b/src/lab/faults/preload.cpp
@@ -47,9 +47,20 @@
     return made;
 }
 
+// Another one for each process, by its name, so that a fleet does not fail in step.
+std::uint64_t ownSalt() {
+    static const std::uint64_t salt = [] {
+        std::uint64_t hash = 14695981039346656037ULL;
+        const char* name = ::getenv("ROUTER_NAME");
+        for (; name && *name; ++name) hash = (hash ^ static_cast<unsigned char>(*name)) * 1099511628211ULL;
+        return hash;
+    }();
+    return salt;
+}
+
 std::uint64_t draw() {
     static std::atomic<std::uint64_t> count{0};
-    std::uint64_t x = (static_cast<std::uint64_t>(plan()->seed.load()) << 32) + ++count;
+    std::uint64_t x = ((static_cast<std::uint64_t>(plan()->seed.load()) << 32) ^ ownSalt()) + ++count;
     x ^= x >> 30;
     x *= 0xbf58476d1ce4e5b9ULL;
     x ^= x >> 27;
@@ -118,6 +129,24 @@
     return error != 0;
 }
 
+// Sockets that this process has connected: a read or write that fails for good there is a server's or the
+// network's failure, while on a client's socket it would take the answer away that is owed.
+constexpr int kMostDescriptors = 65'536;
+std::atomic<bool> connectedOut[kMostDescriptors];
+
+void noteDescriptor(int fd, bool out) {
+    if (fd >= 0 && fd < kMostDescriptors) connectedOut[fd].store(out, std::memory_order_relaxed);
+}
+
+bool isFinal(Way way) {
+    return way == Way::timedOut || way == Way::noHost || way == Way::unreachable || way == Way::inputOutput;
+}
+
+bool mayFail(int fd, Way way) {
+    return !isFinal(way) ||
+           (fd >= 0 && fd < kMostDescriptors && connectedOut[fd].load(std::memory_order_relaxed));
+}
+
 bool isSocket(int fd) {
     struct stat at {};
     return ::fstat(fd, &at) == 0 && S_ISSOCK(at.st_mode);
@@ -145,7 +174,7 @@
 
 ssize_t readSome(int fd, const iovec* parts, int count) {
     const Way way = isSocket(fd) ? wayFor(Call::read) : Way::none;
-    if (fails(way)) return -1;
+    if (mayFail(fd, way) && fails(way)) return -1;
     if (way == Way::partial && count > 0)
         return ::syscall(SYS_read, fd, parts[0].iov_base, few(parts[0].iov_len));
     return ::syscall(SYS_readv, fd, parts, count);
@@ -154,7 +183,7 @@
 ssize_t writeSome(int fd, const iovec* parts, int count) {
     const bool file = isFile(fd);
     const Way way = file ? wayFor(Call::fileWrite) : isSocket(fd) ? wayFor(Call::write) : Way::none;
-    if (fails(way)) return -1;
+    if ((file || mayFail(fd, way)) && fails(way)) return -1;
     if (way == Way::partial && count > 0) {
         const std::size_t size =
             file ? std::max<std::size_t>(parts[0].iov_len / 2, 1) : few(parts[0].iov_len);
@@ -173,7 +202,9 @@
 
 int acceptIt(int fd, sockaddr* at, socklen_t* size, int flags) {
     if (fails(wayFor(Call::accept))) return -1;
-    return static_cast<int>(::syscall(SYS_accept4, fd, at, size, flags));
+    const auto accepted = static_cast<int>(::syscall(SYS_accept4, fd, at, size, flags));
+    noteDescriptor(accepted, false);
+    return accepted;
 }
 
 }  // namespace
@@ -190,6 +221,7 @@
 
 int connect(int fd, const sockaddr* at, socklen_t size) {
     if (at->sa_family == AF_INET && fails(wayFor(Call::connect))) return -1;
+    noteDescriptor(fd, at->sa_family == AF_INET);
     return static_cast<int>(::syscall(SYS_connect, fd, at, size));
 }
 
@@ -218,7 +250,7 @@
 ssize_t sendmsg(int fd, const msghdr* message, int flags) {
     // With a descriptor in it, a part of a message is not the same as the whole one.
     const Way way = message->msg_controllen == 0 && isSocket(fd) ? wayFor(Call::write) : Way::none;
-    if (fails(way)) return -1;
+    if (mayFail(fd, way) && fails(way)) return -1;
     if (way == Way::partial && message->msg_iovlen > 0)
         return ::syscall(SYS_sendto, fd, message->msg_iov[0].iov_base, few(message->msg_iov[0].iov_len),
                          flags, nullptr, 0);
--- a/src/lab/live/live.cpp
+++ b/src/lab/live/live.cpp
@@ -25,6 +25,7 @@
 #include "lab/live/http_call.hpp"
 #include "lab/live/machines.hpp"
 #include "lab/live/process.hpp"
+#include "lab/live/process_faults.hpp"
 #include "lab/model/world.hpp"
 #include "protocol/number.hpp"
 #include "protocol/resp.hpp"
@@ -228,6 +229,10 @@
         if (machines_) machines_->ail(clock(), fault, machine, begins);
     }
 
+    void processFault(const FaultPlan& fault, bool begins) override {
+        if (processFaults_) processFaults_->play(fault, begins);
+    }
+
     void routerReady(int router);
     void dropClient(int router, ClientLink* link);
     Address addressOf(int router, std::uint16_t port) const;
@@ -310,6 +315,7 @@
     transport::Alarm step_;
     transport::Alarm readyBy_;
     std::string failure_;
+    std::unique_ptr<ProcessFaults> processFaults_;  // null where the day has none
     std::unique_ptr<Machines> machines_;
     bool rolled_ = false;
     std::unique_ptr<transport::Signal> child_, interrupt_, terminate_;
@@ -562,6 +568,7 @@
         ownFolder_ = true;
     }
     std::filesystem::create_directories(folder_);
+    if (scenario.hasProcessFaults()) processFaults_ = std::make_unique<ProcessFaults>(folder_, seed);
     for (int r = 0; r < scenario.routers.count; ++r) {
         doors_[static_cast<std::size_t>(r)].resize(static_cast<std::size_t>(world.doors()));
         for (int d = 0; d < world.doors(); ++d) Live::door(r, d, Door::open);
@@ -671,7 +678,8 @@
              {"cell", s.cell},
              {"state", states[static_cast<int>(line.presence)]},
              {"weight", (s.plan ? s.plan->cores * s.plan->speed : 1.0) / (1 + line.held)},
-             {"started_ms", line.startedAt ? unixBaseMs_ + line.startedAt / kMillisecond : 0}});
+             {"started_ms",
+              line.startedAt ? unixBaseMs_ + (line.startedAt + s.wallStep) / kMillisecond : 0}});
     }
     return {{"version", list.version}, {"full", list.full}, {"servers", std::move(servers)}};
 }
@@ -712,12 +720,13 @@
         std::ofstream(file) << fmt::format("[admin]\nsocket = \"{}\"\n", doorOf(router));
         program += " --operator " + file;
     }
-    process = std::make_unique<Process>(program,
-                                        std::vector<std::pair<std::string, std::string>>{
-                                            {"ROUTER_CONFIG", fmt::format("{}/r{}.json", folder_, router)},
-                                            {"ROUTER_NAME", fmt::format("r{}", router)},
-                                            {"ROUTER_LISTEN", textOf(addressOf(router, kRouterPort))}},
-                                        fmt::format("{}/r{}.log", folder_, router));
+    std::vector<std::pair<std::string, std::string>> variables{
+        {"ROUTER_CONFIG", fmt::format("{}/r{}.json", folder_, router)},
+        {"ROUTER_NAME", fmt::format("r{}", router)},
+        {"ROUTER_LISTEN", textOf(addressOf(router, kRouterPort))}};
+    if (processFaults_)
+        for (auto& variable : processFaults_->variables()) variables.push_back(std::move(variable));
+    process = std::make_unique<Process>(program, variables, fmt::format("{}/r{}.log", folder_, router));
     ready_[static_cast<std::size_t>(router)] = std::make_unique<Ready>(*this, router);
 }
 
@@ -944,6 +953,7 @@
     loop.eachTurn([this] { turn(); });
     loop.run();
     if (!failure_.empty()) throw CannotRun(failure_);
+    if (processFaults_) result_.processFaults = processFaults_->counts();
     result_.latePart = allSpans_ ? static_cast<double>(lateSpans_) / static_cast<double>(allSpans_) : 0;
     return result_;
 }
--- a/src/lab/live/live.hpp
+++ b/src/lab/live/live.hpp
@@ -1,7 +1,9 @@
 // The world behind real loopback sockets, round real router processes.
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <stdexcept>
 #include <string>
 
@@ -22,6 +24,7 @@
     int upgrades = 0;       // that were done
     int upgradesFailed = 0;
     bool interrupted = false;
+    std::map<std::string, std::uint64_t> processFaults;  // how often each happened
 };
 
 struct LiveWanted {
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -32,6 +32,7 @@
 #include "lab/sim/leases.hpp"
 #include "lab/sim/roll.hpp"
 #include "lab/sim/sim.hpp"
+#include "lab/soak/command.hpp"
 
 namespace {
 
@@ -314,6 +315,17 @@
     std::string slopesFile = "docs/capacity-slopes.toml";
     capacity->add_option("--target", targetFile, "docs/capacity-target.toml without it");
     capacity->add_option("--slopes", slopesFile, "docs/capacity-slopes.toml without it");
+    auto* soaking = app.add_subcommand("soak", "drawn days of overlapping faults round real routers");
+    soak::Wanted soak;
+    soaking->add_option("file", soak.file, "the deployment and load, scenarios/soak.toml without it");
+    soaking->add_option("--first", soak.first, "the first seed, 1 without it");
+    soaking->add_option("--seeds", soak.seeds, "how many, one without it")->check(CLI::Range(1, 10'000));
+    soaking->add_option("--routers", soak.routers, "instead of the scenario's number")
+        ->check(CLI::Range(1, 200));
+    soaking->add_option("--seconds", soak.seconds, "instead of the scenario's length")
+        ->check(CLI::Range(8.0, 3600.0));
+    soaking->add_option("--program", soak.program, "the router's command line, build/poppyscale without it");
+    soaking->add_option("--out", soak.out, "a folder for each seed's log and reports");
     auto* audit = app.add_subcommand("audit", "judges a log again");
     std::string dir;
     scale::Command scaling(app);
@@ -361,6 +373,10 @@
         }
         if (*capacity) return printCapacity(targetFile, slopesFile);
         if (*measuring) return scale::measureSeries(module) ? kKept : kBroken;
+        if (*soaking) {
+            if (soak.program.empty()) soak.program = kRouter;
+            return soak::run(soak);
+        }
         if (*exploring) return explore(look) ? kKept : kBroken;
         if (*audit) return judgeAgain(dir) ? kKept : kBroken;
     } catch (const std::exception& problem) {
--- a/src/lab/model/scenario.cpp
+++ b/src/lab/model/scenario.cpp
@@ -7,6 +7,7 @@
 #include <iterator>
 #include <nlohmann/json.hpp>
 
+#include "lab/faults/plan.hpp"
 #include "text/table.hpp"
 
 namespace poppyscale::lab {
@@ -44,6 +45,9 @@
                                               {"router_restart", FaultKind::routerRestart},
                                               {"router_upgrade", FaultKind::routerUpgrade},
                                               {"reload", FaultKind::reload},
+                                              {"calls_fail", FaultKind::callsFail},
+                                              {"wall_step", FaultKind::wallStep},
+                                              {"hold_up", FaultKind::holdUp},
                                               {"machine_kill", FaultKind::machineKill},
                                               {"machine_lost", FaultKind::machineLost},
                                               {"machine_stop", FaultKind::machineStop},
@@ -150,6 +154,18 @@
         case FaultKind::clockRate:
             f.by = t.real("by", std::nullopt, 0.1, 10);
             break;
+        case FaultKind::callsFail:
+            f.by = t.part("by", std::nullopt);
+            f.call = t.text("call", std::nullopt);
+            f.way = t.text("way", std::nullopt);
+            if (!faults::callNamed(f.call))
+                t.problem("call", "is not a system call that can be made to fail");
+            if (!faults::wayNamed(f.way)) t.problem("way", "is not a way in which a system call fails");
+            break;
+        case FaultKind::holdUp:
+            f.by = t.real("by", std::nullopt, 1, 1000);
+            break;
+        case FaultKind::wallStep:
         case FaultKind::clockJump:
             f.by = t.real("by", std::nullopt, -1e9, 1e9);
             break;
@@ -275,6 +291,7 @@
         s.discovery.perSecond = d.real("per_second", 200.0, 0.1, 1e6);
         s.discovery.limit = d.millis("limit_ms", 3'000.0);
         s.discovery.askWithin = d.millis("ask_within_ms", 10'000.0);
+        s.discovery.crowded = d.yes("crowded", false);
         s.discovery.toldWithin = d.millis("told_within_ms", 0.0);
         s.discovery.weighEvery = d.millis("weigh_every_ms", 1'000.0);
         if (s.discovery.weighEvery < 10 * kMillisecond) d.problem("weigh_every_ms", "is under 10");
@@ -341,6 +358,12 @@
 
 }  // namespace
 
+bool Scenario::hasProcessFaults() const {
+    return std::any_of(faults.begin(), faults.end(), [](const FaultPlan& fault) {
+        return fault.kind >= FaultKind::callsFail && fault.kind <= FaultKind::holdUp;
+    });
+}
+
 int Scenario::cacheCount() const {
     int n = 0;
     for (const CachePlan& c : caches) n += c.count;
--- a/src/lab/model/scenario.hpp
+++ b/src/lab/model/scenario.hpp
@@ -70,6 +70,9 @@
     double perSecond = 0;  // calls it can answer
     Nanos limit = 0;       // a call that waits longer for its turn fails
     Nanos askWithin = 0;
+    // One call of a router at a time, the older one ends with 503; a call whose turn would come after `limit`
+    // is answered 503 at once; an answer to a call that waited for a change takes a turn too.
+    bool crowded = false;
     Nanos toldWithin = 0;  // after which a change counts as told where discovery can be reached; 0: never
     Nanos weighEvery = 0;  // where sizes move with load: how often they are listed anew
 };
@@ -140,6 +143,10 @@
     routerRestart,    // SIGTERM to all, one after the other
     routerUpgrade,    // each in turn hands its sockets to a new process
     reload,           // SIGHUP to all
+    // Of the routers' processes, by a preloaded library.
+    callsFail,  // a share `by` of system calls of the kind `call` ends in the way `way`
+    wallStep,   // the one wall clock of all machines is ahead by `by` ms, or behind
+    holdUp,     // a turn in fifty is held up for up to `by` ms
     // Of machines, named by `machine` or drawn.
     machineKill,      // SIGKILL to all of its processes; back with its disk
     machineLost,      // the same, and its disk is empty when it is back
@@ -172,6 +179,7 @@
     int times = 1;                // again, spread over `length`
     int machine = -1;             // drawn
     bool to = true, from = true;  // of a cut: what goes to the machine, what comes from it
+    std::string call, way;        // of a system call, as in lab/faults/plan.hpp
     std::vector<int> others;      // from which it is cut; none named: from all, and from the operator's desk
 };
 
@@ -234,6 +242,7 @@
     Bounds bounds;
 
     int cacheCount() const;
+    bool hasProcessFaults() const;
     const std::string& zoneOf(int router) const {  // dealt in turn, to routers or to machines
         const int place = machines.count > 0 ? router / machines.instances : router;
         return network.zones[static_cast<std::size_t>(place) % network.zones.size()];
--- a/src/lab/model/world.cpp
+++ b/src/lab/model/world.cpp
@@ -149,6 +149,7 @@
         shape = {server.plan->cores, server.plan->speed, server.plan->queue, 0};
     const std::size_t keys = server.origin ? 1 : nth(server.plan->keys);
     server.startedAt = cold ? now : 0;
+    server.wallStep = wallStep_;
     const auto index = static_cast<int>(servers_.size());
     hosts_.push_back(std::make_unique<Host>(shape, keys, std::max<Nanos>(scenario_.cold.fallSpan, 1)));
     log(now, What::server, 0, -1, index, 0, server.startedAt,
@@ -569,6 +570,7 @@
     ++host.lives;
     Server& s = servers_[nth(server)];
     if (!s.origin) s.startedAt = now;
+    s.wallStep = wallStep_;
     log(now, What::started, 0, -1, server, 0, s.startedAt);
     lookAtDoors(now);
     if (!s.origin) change(now, server, Presence::ready, scenario_.discovery.noticeBack);
@@ -624,15 +626,15 @@
     const ListCallId call = ++lastCall_;
     listCalls_[call] = {router, after, 0};
     if (discoverySilent_) return call;
-    if (now_.listRefused > 0 && faults_.yes(now_.listRefused)) {
-        agenda_.put(now + scenario_.network.same, [this, router, call](Nanos) {
-            if (listCalls_.erase(call) > 0) driver_.listRefused(router, call);
-        });
-        return call;
-    }
-    const Nanos turn = static_cast<Nanos>(1e9 / scenario_.discovery.perSecond);
+    if (now_.listRefused > 0 && faults_.yes(now_.listRefused)) return refuseSoon(now, router, call), call;
+    if (scenario_.discovery.crowded) endOlderCalls(router, call);
+    const Nanos turn = discoveryTurn();
     discoveryFreeAt_ = std::max(now, discoveryFreeAt_) + turn;
     const bool late = discoveryFreeAt_ - now > scenario_.discovery.limit;
+    if (late && scenario_.discovery.crowded && !discoveryDown_) {
+        discoveryFreeAt_ -= turn;
+        return refuseSoon(now, router, call), call;
+    }
     if (discoveryDown_ || late) {
         if (late) discoveryFreeAt_ -= turn;
         agenda_.put(now + (discoveryDown_ ? scenario_.network.same : scenario_.discovery.limit),
@@ -655,6 +657,24 @@
     return call;
 }
 
+Nanos World::discoveryTurn() const { return static_cast<Nanos>(1e9 / scenario_.discovery.perSecond); }
+
+void World::refuseSoon(Nanos now, int router, ListCallId call) {
+    agenda_.put(now + scenario_.network.same, [this, router, call](Nanos) {
+        if (listCalls_.erase(call) > 0) driver_.listRefused(router, call);
+    });
+}
+
+void World::endOlderCalls(int router, ListCallId call) {
+    std::vector<ListCallId> older;
+    for (const auto& [id, out] : listCalls_)
+        if (out.router == router && id != call) older.push_back(id);
+    for (const ListCallId id : older) {
+        listCalls_.erase(id);
+        driver_.listRefused(router, id);
+    }
+}
+
 void World::unwatch(ListCallId call) { listCalls_.erase(call); }
 
 std::vector<ListCallId> World::callsInOrder() const {
@@ -667,8 +687,18 @@
 }
 
 void World::answerWatches(Nanos now) {
-    for (const ListCallId id : callsInOrder())
-        if (listCalls_.at(id).until > now) answerCall(now, id);
+    for (const ListCallId id : callsInOrder()) {
+        if (listCalls_.at(id).until <= now) continue;
+        if (!scenario_.discovery.crowded) {
+            answerCall(now, id);
+            continue;
+        }
+        listCalls_.at(id).until = 0;
+        discoveryFreeAt_ = std::max(now, discoveryFreeAt_) + discoveryTurn();
+        agenda_.put(discoveryFreeAt_, [this, id](Nanos t) {
+            if (listCalls_.contains(id)) answerCall(t, id);
+        });
+    }
 }
 
 Nanos World::discoveryLateness() {
@@ -961,6 +991,14 @@
             for (int r = 0; r < scenario_.routers.count; ++r)
                 if (routers_[nth(r)].up) driver_.reload(r);
             break;
+        case K::wallStep:
+            wallStep_ = static_cast<Nanos>(fault.by * kMillisecond);
+            driver_.processFault(fault, true);
+            break;
+        case K::callsFail:
+        case K::holdUp:
+            driver_.processFault(fault, true);
+            break;
         default: {  // of machines
             const int drawn = faults_.below(std::max(scenario_.machines.count, 1));
             hit = {fault.machine >= 0 ? fault.machine : drawn};
@@ -974,6 +1012,9 @@
 
 void World::heal(Nanos now, const FaultPlan& fault, const std::vector<int>& hit) {
     log(now, What::fault, 0, -1, -1, 0, 0, fmt::format("ends {} {}", nameOf(fault.kind), fault.zone));
+    if (fault.kind == FaultKind::wallStep) wallStep_ = 0;
+    if (fault.kind >= FaultKind::callsFail && fault.kind <= FaultKind::holdUp)
+        return driver_.processFault(fault, false);
     if (fault.kind >= FaultKind::machineKill) return driver_.ail(fault, hit.at(0), false);
     for (const int s : hit) {
         Host& host = *hosts_[nth(s)];
--- a/src/lab/model/world.hpp
+++ b/src/lab/model/world.hpp
@@ -93,6 +93,8 @@
     virtual void terminate(int router) = 0;
     virtual void reload(int router) = 0;
     virtual void upgrade(int router) = 0;
+    // A fault of the routers' processes begins or ends.
+    virtual void processFault(const FaultPlan& /*fault*/, bool /*begins*/) {}
     // A fault of machines begins or ends; `machine` is drawn where the plan names none, below 0 for a
     // coordinator's.
     virtual void ail(const FaultPlan& /*fault*/, int /*machine*/, bool /*begins*/) {}
@@ -109,6 +111,7 @@
         const CachePlan* plan = nullptr;
         double speed = 1;
         Nanos startedAt = 0;
+        Nanos wallStep = 0;  // of the clock that its start was written down by
     };
 
     World(const Scenario& scenario, std::uint64_t seed, Ledger& ledger, Driver& driver);
@@ -237,6 +240,9 @@
     void failCalls();
     std::vector<ListCallId> callsInOrder() const;  // of routers
     Nanos discoveryLateness();
+    Nanos discoveryTurn() const;
+    void refuseSoon(Nanos now, int router, ListCallId call);
+    void endOlderCalls(int router, ListCallId call);
     // A change that a router could have had by now counts as told, whether or not it arrived.
     void countAsTold(Nanos now, const Change& change);
     bool isDiscoveryReachable() const { return !discoveryDown_ && !discoverySilent_; }
@@ -270,6 +276,7 @@
     Nanos discoveryFreeAt_ = 0;
     bool discoveryDown_ = false, discoverySilent_ = false;
     Nanos discoveryReachableSince_ = 0;
+    Nanos wallStep_ = 0;  // of all machines' one wall clock
     std::map<ListCallId, ListCall> listCalls_;
     Influence now_;
     std::uint64_t lastRun_ = 0, lastConn_ = 0, lastCall_ = 0, lastScan_ = 0;
--- /dev/null
+++ b/src/lab/soak/draw.cpp
@@ -0,0 +1,184 @@
+#include "lab/soak/draw.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+
+#include "lab/model/chance.hpp"
+
+namespace poppyscale::lab::soak {
+namespace {
+
+constexpr Nanos kSecond = 1'000 * kMillisecond;
+constexpr Nanos kQuietStart = 1 * kSecond;  // the fleet is up, and nothing strikes yet
+constexpr Nanos kQuietEnd = 4 * kSecond;    // what has struck is over, and shows
+constexpr Nanos kShortestFault = 500 * kMillisecond;
+constexpr Nanos kLongestFault = 9 * kSecond;
+constexpr double kFaultsPerSecond = 0.8;
+
+// A system call that fails in a way that Linux documents, and that a router can bear without a request's
+// loss.
+struct CallFault {
+    const char* call;
+    const char* way;
+    double most;  // share of calls
+};
+constexpr CallFault kCallFaults[]{
+    {"accept", "ENFILE", 0.1},         {"accept", "ENOBUFS", 0.1},
+    {"accept", "ECONNABORTED", 0.1},   {"accept", "EINTR", 0.3},
+    {"socket", "ENFILE", 0.1},         {"socket", "ENOBUFS", 0.1},
+    {"connect", "EADDRNOTAVAIL", 0.1}, {"connect", "ENETUNREACH", 0.1},
+    {"connect", "EHOSTUNREACH", 0.1},  {"connect", "ETIMEDOUT", 0.1},
+    {"connect", "EINTR", 0.2},         {"read", "EINTR", 0.2},
+    {"read", "EAGAIN", 0.2},           {"read", "partial", 0.5},
+    {"read", "ETIMEDOUT", 0.01},       {"read", "EHOSTUNREACH", 0.01},
+    {"write", "EINTR", 0.2},           {"write", "EAGAIN", 0.2},
+    {"write", "ENOBUFS", 0.05},        {"write", "partial", 0.5},
+    {"write", "EHOSTUNREACH", 0.01},   {"poll", "EINTR", 0.2},
+};
+
+constexpr std::array kKinds{
+    FaultKind::crash,
+    FaultKind::hang,
+    FaultKind::slow,
+    FaultKind::errors,
+    FaultKind::replace,
+    FaultKind::drain,
+    FaultKind::cut,
+    FaultKind::refuse,
+    FaultKind::late,
+    FaultKind::leave,
+    FaultKind::reset,
+    FaultKind::slowReader,
+    FaultKind::deaf,
+    FaultKind::spoil,
+    FaultKind::originSlow,
+    FaultKind::discoveryDown,
+    FaultKind::discoverySilent,
+    FaultKind::discoverySlow,
+    FaultKind::discoveryRefuse,
+    FaultKind::discoveryMove,
+    FaultKind::routerKill,
+    FaultKind::routerRestart,
+    FaultKind::reload,
+    FaultKind::callsFail,
+    FaultKind::callsFail,
+    FaultKind::callsFail,
+    FaultKind::wallStep,
+    FaultKind::holdUp,
+    FaultKind::drain,
+    FaultKind::replace,
+    FaultKind::discoverySlow,
+    FaultKind::discoveryRefuse,
+};
+
+class Draw {
+  public:
+    Draw(const Scenario& base, std::uint64_t seed) : day_(base), chance_(seed) {
+        day_.name = fmt::format("{}-{}", base.name, seed);
+    }
+
+    Scenario day() {
+        const Nanos end = day_.length - kQuietEnd;
+        for (Nanos at = kQuietStart; at < end; at += chance_.gap(kFaultsPerSecond)) add(at, end);
+        return day_;
+    }
+
+  private:
+    double between(double least, double most) { return least + chance_.part() * (most - least); }
+    int someCaches() { return 1 + chance_.below(std::max(day_.cacheCount() / 5, 1)); }
+
+    void add(Nanos at, Nanos end) {
+        FaultPlan fault;
+        fault.kind = kKinds[static_cast<std::size_t>(chance_.below(static_cast<int>(kKinds.size())))];
+        fault.at = at;
+        const auto span = static_cast<Nanos>(between(kShortestFault, kLongestFault));
+        fault.length = std::max(std::min(span, end - at), kMillisecond);
+        fault.count = someCaches();
+        size(fault);
+        // One at a time of those whose end would undo another's.
+        const auto overlaps = [&](const FaultPlan& other) {
+            const bool same = other.kind == fault.kind && other.call == fault.call && other.way == fault.way;
+            return same && other.at < fault.at + fault.length && fault.at < other.at + other.length;
+        };
+        if (isSingle(fault.kind) && std::any_of(day_.faults.begin(), day_.faults.end(), overlaps)) return;
+        day_.faults.push_back(fault);
+    }
+
+    static bool isSingle(FaultKind kind) {
+        constexpr FaultKind kSeveral[]{FaultKind::crash,     FaultKind::hang,  FaultKind::replace,
+                                       FaultKind::drain,     FaultKind::leave, FaultKind::reload,
+                                       FaultKind::routerKill};
+        return std::find(std::begin(kSeveral), std::end(kSeveral), kind) == std::end(kSeveral);
+    }
+
+    void size(FaultPlan& fault) {
+        switch (fault.kind) {
+            case FaultKind::slow:
+                fault.by = between(2, 8);
+                break;
+            case FaultKind::slowReader:
+                fault.by = between(5, 120);
+                break;
+            case FaultKind::errors:
+            case FaultKind::reset:
+            case FaultKind::spoil:
+                fault.by = between(0.02, 0.3);
+                break;
+            case FaultKind::leave:
+                fault.by = between(0.1, 0.6);
+                break;
+            case FaultKind::originSlow:
+                fault.by = between(1.2, 3);
+                break;
+            case FaultKind::cut: {
+                const auto zones = static_cast<int>(day_.network.zones.size());
+                fault.zone = day_.network.zones[static_cast<std::size_t>(chance_.below(zones))];
+                fault.length = std::min(fault.length, 5 * kSecond);
+                break;
+            }
+            case FaultKind::discoverySlow:
+                fault.by = between(200, 3'400);
+                break;
+            case FaultKind::discoveryRefuse:
+                fault.by = between(0.2, 0.7);
+                break;
+            case FaultKind::discoveryMove:
+            case FaultKind::reload:
+                fault.length = 0;
+                break;
+            case FaultKind::routerKill:
+                fault.count = 1 + chance_.below(std::max(day_.routers.count / 4, 1));
+                fault.length = 0;
+                break;
+            case FaultKind::callsFail: {
+                const auto& one = kCallFaults[chance_.below(static_cast<int>(std::size(kCallFaults)))];
+                fault.call = one.call;
+                fault.way = one.way;
+                fault.by = between(one.most / 10, one.most);
+                break;
+            }
+            case FaultKind::wallStep: {
+                constexpr double kSteps[]{-3.6e6, -7e3, -1.5e3, 1.5e3, 7e3, 3.6e6};  // ms
+                fault.by = kSteps[chance_.below(static_cast<int>(std::size(kSteps)))];
+                break;
+            }
+            case FaultKind::holdUp:
+                fault.by = between(50, 150);
+                break;
+            default:
+                break;
+        }
+    }
+
+    Scenario day_;
+    Chance chance_;
+};
+
+}  // namespace
+
+Scenario drawDay(const Scenario& base, std::uint64_t seed) { return Draw(base, seed).day(); }
+
+}  // namespace poppyscale::lab::soak
--- /dev/null
+++ b/src/lab/soak/draw.hpp
@@ -0,0 +1,14 @@
+// Days of a randomized fault soak: which faults strike when is drawn from a seed, and they overlap. No I/O.
+#pragma once
+
+#include <cstdint>
+
+#include "lab/model/scenario.hpp"
+
+namespace poppyscale::lab::soak {
+
+// The base's deployment and load with faults of its own choice: of servers, the network, discovery, clients,
+// the routers' life and their system calls, some at a time. The same seed draws the same day.
+Scenario drawDay(const Scenario& base, std::uint64_t seed);
+
+}  // namespace poppyscale::lab::soak
--- a/src/program/program.cpp
+++ b/src/program/program.cpp
@@ -90,6 +90,9 @@
                 ? wanted_.makeCore(loop_, pool_, start, mostLinks(start), decisions)
                 : std::make_unique<routing::Core>(loop_, pool_, start, mostLinks(start), decisions);
     clients_.emplace(loop_, pool_, *core_, mostClients(start), start.memory / 16, 2 * start.idle);
+    clients_->tellExhausted = [this](std::string_view why) {
+        say("life", Level::warning, fmt::format("new connections have to wait: {}", why));
+    };
     if (auto sources = sourcesOf(told_); !sources.empty()) {
         // What discovery holds back for a call that waits counts as told soon after; the shorter the wait,
         // the sooner a silent discovery is noticed.
@@ -101,6 +104,7 @@
         settings.seed = start.terms.seed;
         settings.version = start.known.version;
         settings.routers = start.terms.routers;
+        settings.pushed = start.listPushed;
         settings.longestList = start.memory / kListPart;
         watch_.emplace(loop_, pool_, *core_, std::move(settings), log("discovery", Level::warning));
         core_->askForList = [this] { watch_->want(); };
@@ -482,6 +486,7 @@
                 {"links", core_->links()},
                 {"links_opened", core_->linksOpened()},
                 {"list_calls", watch_ ? watch_->calls() : 0},
+                {"guard", core_->guard().json()},
                 {"caches_ready", ready},
                 {"caches_listed", listed},
                 {"memory_kb", resident * (::sysconf(_SC_PAGESIZE) / 1024)},
--- a/src/protocol/discovery.cpp
+++ b/src/protocol/discovery.cpp
@@ -204,6 +204,7 @@
         start.terms.askWithin = start.watchFor;
         start.terms.firstAskWithin = start.watchFor / 2;
         if (paths.has("rules.drainGraceUs")) askWithinGrace(paths.time("rules.drainGraceUs"), start);
+        start.listPushed = !start.terms.listOnRequest;
         start.terms.listOnRequest = true;
         start.idle = paths.time("allowed.connIdleUs");
         start.connectWithin = paths.time("allowed.connectTimeoutUs");
--- a/src/protocol/discovery.hpp
+++ b/src/protocol/discovery.hpp
@@ -35,6 +35,7 @@
     Terms terms;
     Roster known;
     Nanos idle = 0;             // after which caches close a connection
+    bool listPushed = false;    // what discovery has counts as told at once
     Nanos watchFor = 0;         // how long a call to discovery may wait for a change
     Nanos connectWithin = 0;    // a connection that is not up by then won't be
     Nanos longestPatience = 0;  // of any verb's client
--- a/src/routing/clients.cpp
+++ b/src/routing/clients.cpp
@@ -25,6 +25,8 @@
 // For which a client may leave a long answer unread: it holds a cache's place.
 constexpr Nanos kUnread = 10'000 * kMillisecond;
 constexpr Nanos kLeastPace = 1'000'000'000 / (32 * 1024);  // for each byte
+// That the system has nothing left for new connections is told this often at most.
+constexpr Nanos kTellExhaustionEvery = 1'000 * kMillisecond;
 // Who is not read ends unseen: looked at this often, where something of theirs is still to be sent on. This
 // frees what they hold; that no attempt begins for them is seen to by the look before each attempt.
 constexpr Nanos kLook = 50 * kMillisecond;
@@ -486,7 +488,9 @@
       most_(most),
       mostHeld_(mostHeld),
       patience_(patience),
-      listener_(std::make_unique<transport::Listener>(loop, [this](const auto& finish) { admit(finish); })) {}
+      listener_(std::make_unique<transport::Listener>(loop, [this](const auto& finish) { admit(finish); })) {
+    listener_->whenExhausted([this](std::string_view why) { exhausted(why); });
+}
 
 Clients::~Clients() = default;
 
@@ -499,6 +503,15 @@
     client.start();
 }
 
+// The system has no descriptor or memory for another connection. Who wants to connect waits in the backlog;
+// none of those that are there is closed for it: what they have sent may not have come yet.
+void Clients::exhausted(std::string_view why) {
+    const Nanos now = transport::Loop::now();
+    if (now < exhaustionToldAt_ + kTellExhaustionEvery) return;
+    exhaustionToldAt_ = now;
+    if (tellExhausted) tellExhausted(why);
+}
+
 // First who is only let read its last answer, then who has not said anything right yet, oldest first, so that
 // a crowd that says nothing, half of something or only nonsense makes room for itself; then who idles.
 bool Clients::makeRoom() {
@@ -507,9 +520,7 @@
     if (gone == clients_.end())
         gone = std::find_if(clients_.begin(), clients_.end(), [](auto& c) { return c->mayMakeRoom(); });
     if (gone == clients_.end()) gone = idlest();
-    if (gone == clients_.end()) return false;
-    clients_.erase(gone);
-    return true;
+    return gone != clients_.end() && closeIdle(gone);
 }
 
 Nanos Clients::keptIdle() const {
@@ -535,8 +546,7 @@
     // leave none behind a front that opens only so many.
     while (clients_.size() > most_ / 2) {
         const auto it = idlest();
-        if (it == clients_.end()) break;
-        clients_.erase(it);
+        if (it == clients_.end() || !closeIdle(it)) break;
     }
     while (!rested_.empty()) {
         Client* const client = rested_.back();
@@ -572,7 +582,7 @@
         const bool halfSaid = !takes() && !c.owed() && !c.ending() && c.half() > 0;
         if (halfSaid || (c.mayClose() && (said || static_cast<double>(idle) > may))) {
             idle -= idle > 0;
-            clients_.erase(c.place);
+            closeIdle(c.place);
         }
     }
 }
@@ -597,4 +607,14 @@
 
 void Clients::drop(Client& client) { clients_.erase(client.place); }
 
+bool Clients::closeIdle(Place client) {
+    if ((*client)->owed()) {
+        core_.guard().violated(Invariant::closing, "a client's connection with a request that has no answer");
+        core_.guard().refused(Refusal::stillOwed);
+        return false;
+    }
+    clients_.erase(client);
+    return true;
+}
+
 }  // namespace poppyscale::routing
--- a/src/routing/clients.hpp
+++ b/src/routing/clients.hpp
@@ -55,13 +55,18 @@
     std::size_t count() const { return clients_.size(); }
     // Those that have had their part of the last turn are read again.
     void turn();
+    // The system has nothing left for another connection, for the reason given.
+    std::function<void(std::string_view)> tellExhausted;
 
   private:
     friend class Client;
     void admit(const std::function<bool(transport::Connection&)>& finish);
     void drop(Client& client);  // which is gone after this
     using Place = std::list<std::unique_ptr<Client>>::iterator;
+    // The only way in which a connection is closed that nothing is wrong with. False when it stays.
+    bool closeIdle(Place client);
     bool makeRoom();
+    void exhausted(std::string_view why);
     Nanos keptIdle() const;
     Place idlest();
     // False when `writing` itself had to go.
@@ -90,6 +95,7 @@
     std::vector<Client*> rested_;                 // not read until the next turn
     std::vector<Client*> left_;                   // seen to have left, to be dropped with the next turn
     Nanos lookAt_ = 0;
+    Nanos exhaustionToldAt_ = 0;
     std::uint64_t turn_ = 1;
 };
 
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -8,13 +8,16 @@
 namespace poppyscale::routing {
 namespace {
 
-// Taken once: a clock that is set later must not make a cache's start time look like another start.
-std::int64_t leadOfClock() {
+// Of the monotonic clock over the machines' wall clock.
+Nanos leadOverWallClock() {
     const auto wall = std::chrono::duration_cast<std::chrono::nanoseconds>(
         std::chrono::system_clock::now().time_since_epoch());
     return transport::Loop::now() - wall.count();
 }
 
+// Between two looks at the wall clock for a step of it.
+constexpr Nanos kClockLookEvery = 100 * kMillisecond;
+
 // What a command costs beside its words, here and in the module: of short ones it is the most.
 constexpr std::size_t kMemoryOfCommand = 1024;
 
@@ -26,6 +29,11 @@
 // on its way; a router that sees a cache every ten seconds opens twice as many where it keeps half of it.
 Nanos keptFor(Nanos idle) { return idle - idle / 10; }
 
+bool mayHaveRun(Ending ending) {
+    return ending == Ending::answered || ending == Ending::errored || ending == Ending::timedOut ||
+           ending == Ending::cut || ending == Ending::undone;
+}
+
 std::size_t heldBy(const protocol::Command& said) {
     return kMemoryOfCommand + said.key.size() + said.id.size() + said.info.size() + said.value.size();
 }
@@ -36,22 +44,31 @@
            Log log)
     : loop_(loop),
       log_(std::move(log)),
-      links_{loop, pool, *this, mostLinks, keptFor(start.idle), start.connectWithin, {}, start.memory / 16},
+      guard_(log_),
+      links_{loop,
+             pool,
+             *this,
+             guard_,
+             mostLinks,
+             keptFor(start.idle),
+             start.connectWithin,
+             {},
+             start.memory / 16},
       mostOpen_(start.mostOpen),
       mostHeld_(start.memory / 8),
-      clockLead_(leadOfClock()),
       originShape_(start.terms.originShape),
       aside_(start.terms.aside),
       known_(start.memory / kKnownServersPart),
       wakeUp_(loop, [this] { due_ = true; }),
       router_(start.terms, *this, transport::Loop::now()) {
-    for (const Verb& verb : start.terms.verbs) verbs_.insert(verb.name);
+    for (const Verb& verb : start.terms.verbs) verbs_.emplace(verb.name, verb);
     Core::listed(NewsKind::cached, start.known);
 }
 
 Core::Taken Core::take(Asker& asker, protocol::Command said, Nanos now, Body* body) {
     // Of an unknown verb nobody can say whether it may be repeated, nor by when it is to be answered.
-    if (!verbs_.contains(said.verb)) return {nullptr, "unknown verb"};
+    const auto verb = verbs_.find(said.verb);
+    if (verb == verbs_.end()) return {nullptr, "unknown verb"};
     // Caches and origin tell commands apart by their ids: under one id, one could get what is another's.
     if (ids_.contains(said.id)) return {nullptr, "id of an open command"};
     if (commands_.size() >= mostOpen_ || held_ >= mostHeld_) {
@@ -66,6 +83,8 @@
     command.asker = &asker;
     command.body = body;
     command.giveUpAt = now + said.patience;
+    command.effect = verb->second.effect;
+    command.remembered = verb->second.remembered;
     command.said = std::move(said);
     held_ += heldBy(command.said);
     ids_.insert(command.said.id);
@@ -86,7 +105,7 @@
 void Core::changed(const protocol::Start& start) {
     if (counts_) counts_->changed(start.terms.verbs);
     verbs_.clear();
-    for (const Verb& verb : start.terms.verbs) verbs_.insert(verb.name);
+    for (const Verb& verb : start.terms.verbs) verbs_.emplace(verb.name, verb);
     mostOpen_ = start.mostOpen;
     links_.keepIdle = keptFor(start.idle);
     links_.connectWithin = start.connectWithin;
@@ -145,12 +164,13 @@
 
 void Core::listed(NewsKind kind, const protocol::Roster& roster) {
     News news{kind, {}};
+    const Nanos now = transport::Loop::now();
+    startTimes_.noteClock(now, leadOverWallClock());
     std::unordered_set<std::string_view> named;
     for (const auto& place : roster.places) {
         named.insert(place.listed.name);
         Listed entry = place.listed;
-        if (place.startedMs > 0)
-            entry.cameUp = std::max<Nanos>(place.startedMs * kMillisecond + clockLead_, 1);
+        entry.cameUp = startTimes_.startOf(entry.name, place.startedMs, now);
         auto& upstream = upstreams_[entry.name];
         if (!upstream) {
             upstream = std::make_unique<Upstream>(links_, aside_ && entry.shape == originShape_);
@@ -167,10 +187,18 @@
         for (auto& [name, upstream] : upstreams_)
             if (!named.contains(name)) upstream->listed(Presence::gone, std::nullopt, "");
     std::erase_if(upstreams_, [this](const auto& entry) {
-        if (entry.second->unused()) known_.add(entry.first);
-        return entry.second->unused();
+        if (!entry.second->unused()) return false;
+        known_.add(entry.first);
+        startTimes_.forget(entry.first);
+        return true;
     });
-    events_.push_back({transport::Loop::now(), std::move(news)});
+    events_.push_back({now, std::move(news)});
+}
+
+void Core::lookAtClock(Nanos now) {
+    if (now - clockLookedAt_ < kClockLookEvery) return;
+    clockLookedAt_ = now;
+    startTimes_.noteClock(now, leadOverWallClock());
 }
 
 std::string Core::whyNoBan(const std::string& name) const {
@@ -202,6 +230,7 @@
 void Core::listMoved() { events_.push_back({transport::Loop::now(), News{NewsKind::changes, {}}}); }
 
 void Core::turn() {
+    lookAtClock(transport::Loop::now());
     while (due_ || !events_.empty() || links_.freed) {
         due_ = false;
         if (links_.freed) links_.tend();
@@ -261,8 +290,8 @@
     const Nanos now = transport::Loop::now();
     const int number = command.relays++;
     const Nanos giveUpAt = std::min(send.giveUpAt, command.giveUpAt);
-    const bool inTime = giveUpAt - now >= protocol::kLeastTimeTold;
-    if (!send.to || !inTime || !awaited(command)) {
+    if (const auto why = whyNotSend(send, command, giveUpAt, now)) {
+        guard_.refused(*why);
         events_.push_back({now, Ended{{command.id, number, Ending::notSent, false, 0}}});
         return;
     }
@@ -278,6 +307,27 @@
     send.to->send(relay);
 }
 
+std::optional<Refusal> Core::whyNotSend(const Send& send, Command& command, Nanos giveUpAt, Nanos now) {
+    if (command.out) {
+        guard_.violated(Invariant::starting, "a second attempt beside the one of request " + command.said.id);
+        return Refusal::requestClosed;
+    }
+    if (!send.to) return Refusal::serverLeaves;
+    if (giveUpAt - now < protocol::kLeastTimeTold) return Refusal::noTimeLeft;
+    if (!mayRepeat(command, now)) {
+        guard_.violated(Invariant::repeating,
+                        "another attempt of request " + command.said.id + ", which may have run");
+        return Refusal::mayNotRepeat;
+    }
+    if (!awaited(command)) return Refusal::clientLeft;
+    return std::nullopt;
+}
+
+bool Core::mayRepeat(const Command& command, Nanos now) {
+    if (command.effect == Effect::pure || command.firstMayHaveRunAt == kNever) return true;
+    return command.effect == Effect::receipted && now < command.firstMayHaveRunAt + command.remembered;
+}
+
 Taker* Core::relayGives(Relay& relay, std::size_t length, Giver& from) {
     relay.answeredAt = loop_.arrivedBy();
     Asker* const asker = std::exchange(commands_.at(relay.command)->asker, nullptr);
@@ -294,6 +344,8 @@
     const Nanos until = relay.answeredAt ? relay.answeredAt : loop_.arrivedBy();
     const Nanos spent = std::max<Nanos>(until - relay.sentAt, 0);
     if (counts_) counts_->relayEnded(outcome.ending, spent);
+    if (mayHaveRun(outcome.ending))
+        command.firstMayHaveRunAt = std::min(command.firstMayHaveRunAt, relay.sentAt);
     events_.push_back({transport::Loop::now(),
                        Ended{{command.id, relay.number, outcome.ending, false, spent, outcome.found}}});
     command.out.reset();
--- a/src/routing/core.hpp
+++ b/src/routing/core.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -17,7 +18,9 @@
 #include "logic.hpp"
 #include "protocol/command.hpp"
 #include "protocol/discovery.hpp"
+#include "routing/guard.hpp"
 #include "routing/known_servers.hpp"
+#include "routing/start_times.hpp"
 #include "routing/upstream.hpp"
 #include "transport/loop.hpp"
 #include "transport/pool.hpp"
@@ -53,6 +56,10 @@
     Nanos giveUpAt = 0;
     int relays = 0;
     std::unique_ptr<Relay> out;
+    // By the terms under which it was taken.
+    Effect effect = Effect::effectful;
+    Nanos remembered = 0;
+    Nanos firstMayHaveRunAt = kNever;  // when the first attempt was sent that may have run
 };
 
 // A command as it stands, to be looked at.
@@ -105,6 +112,8 @@
     // Other verbs, customers and figures from the next turn on; what is open ends by what it came under.
     void changed(const protocol::Start& start);
 
+    Guard& guard() { return guard_; }
+
     // Why an operator can't take that server out, or let it in; or nothing.
     std::string whyNoBan(const std::string& name) const;
     // Takes a cache out by an operator's word, or lets it serve again; binding when this returns.
@@ -169,24 +178,32 @@
     bool awaited(Command& command);
     void nobodyWaits(Command& command);
 
+    void lookAtClock(Nanos now);
     void handOver(const Event& event);
     void carryOut(Action& action);
     void tell(Command& command, Final final);
     void forget(CommandId id);
 
+    // Why that attempt may not begin; none if it may.
+    std::optional<Refusal> whyNotSend(const Send& send, Command& command, Nanos giveUpAt, Nanos now);
+    // Whether the next attempt of a command may take effect beside an earlier one.
+    static bool mayRepeat(const Command& command, Nanos now);
+
     transport::Loop& loop_;
     Log log_;
+    Guard guard_;
     Links links_;
     std::size_t mostOpen_;
     std::size_t mostHeld_;  // bytes of what clients sent
     std::size_t held_ = 0;
-    std::int64_t clockLead_;  // of the loop's clock over the machines', in ns
+    StartTimes startTimes_;
+    Nanos clockLookedAt_ = 0;
     std::string originShape_;
     bool aside_;
     bool due_ = true;
     bool subscribe_ = false;
     CommandId lastId_ = 0;
-    std::unordered_set<std::string> verbs_;
+    std::unordered_map<std::string, Verb> verbs_;
     std::unique_ptr<counts::Counts> counts_;
     std::unordered_map<CommandId, std::unique_ptr<Command>> commands_;
     std::unordered_set<std::string_view> ids_;  // that clients gave the commands
--- /dev/null
+++ b/src/routing/guard.hpp
@@ -0,0 +1,59 @@
+// The invariants of a router at run time: each thing that must not happen is refused at one place, counted
+// there, and looked for a second time at the last moment. A count of violations above zero is a bug report.
+//
+// - Sending: a request's bytes go to a server only while the list has it as ready at that address and no
+// operator
+//   has taken it out, its client is there, and its time has not passed.
+// - Repeating: what may have run and may not run twice is not sent again; what may be repeated for a while
+// only
+//   within it.
+// - Closing: a client's connection is not closed by this router while a request on it has no answer, but for
+// a
+//   client that breaks the protocol, does not read, or fills the memory.
+// - Starting: an attempt begins only for a request that is open, and as the only one of that request.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <string_view>
+
+namespace poppyscale::routing {
+
+enum class Invariant : std::uint8_t { sending, repeating, closing, starting, count };
+
+// Why an attempt was not begun, or a connection not closed.
+enum class Refusal : std::uint8_t {
+    serverLeaves,   // it drains, is gone or was taken out
+    addressMoved,   // the connection is to where the server is no more
+    clientLeft,     // nobody waits for the answer
+    noTimeLeft,     // the request's time, or the one by which it may be repeated, is over
+    mayNotRepeat,   // it may have run
+    requestClosed,  // it has its answer
+    stillOwed,      // a request on the connection has no answer
+    count
+};
+
+class Guard {
+  public:
+    using Log = std::function<void(std::string_view)>;
+    explicit Guard(Log log) : log_(std::move(log)) {}
+
+    void refused(Refusal why) { ++refused_[static_cast<std::size_t>(why)]; }
+    // It happened all the same. `what` names the request, server or client.
+    void violated(Invariant invariant, const std::string& what);
+
+    std::uint64_t refusals(Refusal why) const { return refused_[static_cast<std::size_t>(why)]; }
+    std::uint64_t violations() const;
+    // By name, for operators.
+    nlohmann::json json() const;
+
+  private:
+    Log log_;
+    std::array<std::uint64_t, static_cast<std::size_t>(Refusal::count)> refused_{};
+    std::array<std::uint64_t, static_cast<std::size_t>(Invariant::count)> violated_{};
+};
+
+}  // namespace poppyscale::routing
--- a/src/routing/list_call.hpp
+++ b/src/routing/list_call.hpp
@@ -54,6 +54,9 @@
     int status() const { return answer_.status(); }
     std::string_view body() { return answer_.body(); }
     bool mayCallAgain() const { return connection_ && answer_.keepsOpen(); }
+    Nanos begunAt() const { return begunAt_; }
+    // Since it began, but for what it may have waited for a change.
+    Nanos tookBesideWait() const { return transport::Loop::now() - begunAt_ - request_.wait; }
     // What a call that is late has not done.
     std::string_view whyLate() const;
     // For the log: how long ago it began, in which phase it is, what has come of its answer.
--- a/src/routing/upstream.cpp
+++ b/src/routing/upstream.cpp
@@ -54,6 +54,10 @@
         relay_ = &relay;
         relay.on = this;
         const Nanos timeLeft = relay.giveUpAt - transport::Loop::now();
+        // All that is sent comes by here; whatever was decided, nothing may be wrong with it now.
+        if (stale() || timeLeft <= 0)
+            upstream_.shared_.guard.violated(Invariant::sending,
+                                             "request " + relay.said.id + " to " + upstream_.host_);
         const std::string head = upstream_.origin_
                                      ? protocol::originCall(relay.said, upstream_.host_, timeLeft)
                                      : protocol::cacheCommand(relay.said, timeLeft);
@@ -306,7 +310,10 @@
 }
 
 void Upstream::send(Relay& relay) {
-    if (barred_) return shared_.owner.relayEnded(relay, {Ending::notSent, {}});
+    if (barred_) {
+        shared_.guard.refused(Refusal::serverLeaves);
+        return shared_.owner.relayEnded(relay, {Ending::notSent, {}});
+    }
     if (!address_) return shared_.owner.relayEnded(relay, {Ending::noRoute, {}});
     relay.alarm.set(std::min(relay.giveUpAt, relay.startBy));
     waiting_.push_back(&relay);
@@ -325,12 +332,12 @@
             continue;
         }
         Relay& relay = *nextWaiting();
-        const Nanos now = transport::Loop::now();
-        const bool inTime = now < relay.startBy && relay.giveUpAt - now >= protocol::kLeastTimeTold;
-        if (inTime && shared_.owner.awaited(relay))
-            link->begin(relay);
-        else
+        if (const auto why = whyNotWrite(relay)) {
+            shared_.guard.refused(*why);
             shared_.owner.relayEnded(relay, {Ending::notSent, {}});
+        } else {
+            link->begin(relay);
+        }
     }
     for (auto on = opening(); on < waiting_.size() && address_ && shared_.makeRoom(); ++on) {
         links_.push_back(std::make_unique<Link>(*this));
@@ -341,6 +348,14 @@
     }
 }
 
+std::optional<Refusal> Upstream::whyNotWrite(Relay& relay) const {
+    const Nanos now = transport::Loop::now();
+    if (!usable()) return Refusal::serverLeaves;
+    if (now >= relay.startBy || relay.giveUpAt - now < protocol::kLeastTimeTold) return Refusal::noTimeLeft;
+    if (!shared_.owner.awaited(relay)) return Refusal::clientLeft;
+    return std::nullopt;
+}
+
 // The one used last, so that the others can reach their idle time.
 Link* Upstream::idle() {
     Link* best = nullptr;
--- a/src/routing/upstream.hpp
+++ b/src/routing/upstream.hpp
@@ -10,6 +10,7 @@
 #include "logic.hpp"
 #include "protocol/command.hpp"
 #include "routing/flow.hpp"
+#include "routing/guard.hpp"
 #include "transport/connection.hpp"
 
 namespace poppyscale::routing {
@@ -49,6 +50,7 @@
     transport::Loop& loop;
     transport::Pool& pool;
     RelayOwner& owner;
+    Guard& guard;
     std::size_t most = 0;
     Nanos keepIdle = 0;
     Nanos connectWithin = 0;
@@ -94,6 +96,8 @@
     friend struct Links;
     friend struct Relay;
 
+    // Why a relay that has waited for a connection may not be written on it now; none if it may.
+    std::optional<Refusal> whyNotWrite(Relay& relay) const;
     void shut();
     void tend();
     void shed();
--- a/src/routing/watch.cpp
+++ b/src/routing/watch.cpp
@@ -31,7 +31,8 @@
       longestList_(settings.longestList),
       log_(std::move(log)),
       version_(settings.version),
-      pacing_(settings.routers, settings.seed),
+      pushed_(settings.pushed),
+      pacing_(settings.routers, settings.seed, false),
       next_(loop, [this] { callDue(); }),
       heardAt_(transport::Loop::now()) {
     setSources(std::move(settings.sources));
@@ -46,10 +47,11 @@
         several_.reset(new Several{sources, std::move(selector), 0, 0, 0});
     }
     source_ = sources[first];
+    pacing_.setMayBeCrowded(!pushed_ && !several_);
 }
 
 void Watch::want() {
-    if (unanswered_ || (several_ && next_.isSet())) return;
+    if (unanswered_ || (next_.isSet() && (several_ || pacing_.isCrowded()))) return;
     beginCall();
 }
 
@@ -88,7 +90,7 @@
     if (wholeWanted_) return request;
     request.after = version_;
     // After a failure, and at a source that is tried, what is newer is told at once, if only that nothing is.
-    if (isProbing() || !trouble_.empty()) return request;
+    if (isProbing() || !trouble_.empty() || pacing_.isCrowded()) return request;
     request.wait = pacing_.watchWait(several_ ? std::min(longestWait_, kWaitAmongSeveral) : longestWait_);
     return request;
 }
@@ -132,13 +134,19 @@
     watch_ = nullptr;
     const std::string_view why = call.whyLate();
     note(why, call);
-    if (!several_) return beginCall();
     core_.listFailed();
-    moveToNextSource(why);
+    if (several_)
+        moveToNextSource(why);
+    else
+        beginCall();
 }
 
 void Watch::answered(ListCall& call) {
-    if (call.status() != 200) return failed(call, fmt::format("answered {}", call.status()));
+    if (call.status() != 200) {
+        pacing_.refused(transport::Loop::now());
+        return failed(call, fmt::format("answered {}", call.status()));
+    }
+    pacing_.answered(transport::Loop::now(), call.tookBesideWait());
     try {
         if (!take(call)) return;
     } catch (const protocol::Malformed& problem) {
@@ -149,12 +157,27 @@
     // What was asked for before it can tell nothing more.
     while (calls_.front().get() != &call) drop(*calls_.front());
     if (watch_ && watch_ != &call) return drop(call);
+    if (pacing_.isCrowded()) return pollLater(call);
     // At once: a later call would begin a new watch.
     if (call.mayCallAgain()) return callAgain(call);
     drop(call);
     beginCall();
 }
 
+void Watch::retryAfterPause() {
+    const Nanos now = transport::Loop::now();
+    next_.set(now + pacing_.pauseAfterFailure(now - heardAt_));
+}
+
+// Leaves a crowded source to the others for a while.
+void Watch::pollLater(ListCall& call) {
+    const Nanos now = transport::Loop::now();
+    const bool prompt = call.tookBesideWait() <= sources::kPromptAnswer;
+    const Nanos due = prompt ? now + sources::kPromptPause : call.begunAt() + sources::kCrowdedPeriod;
+    drop(call);
+    next_.set(std::max(due, now));
+}
+
 // False when the call has failed by what it brought.
 bool Watch::take(ListCall& call) {
     const auto roster = protocol::readRoster(call.body());
@@ -194,7 +217,7 @@
     if (several_)
         moveToNextSource(why);
     else
-        next_.set(transport::Loop::now() + pacing_.pauseAfterFailure());
+        retryAfterPause();
 }
 
 void Watch::drop(ListCall& call) {
--- a/src/routing/watch.hpp
+++ b/src/routing/watch.hpp
@@ -25,6 +25,7 @@
         std::uint64_t seed = 0;
         std::int64_t routers = 1;     // in the fleet
         std::size_t longestList = 0;  // bytes
+        bool pushed = false;          // what the source has counts as told at once
     };
 
     Watch(transport::Loop& loop, transport::Pool& pool, Core& core, Settings settings, Log log);
@@ -71,6 +72,8 @@
     // The pause after a failure is over, or the newest call has no answer in time.
     void callDue();
     void drop(ListCall& call);
+    void pollLater(ListCall& call);
+    void retryAfterPause();
     bool take(ListCall& call);
     // Whether an answer of a version below the known one is to be taken; where not, its call has failed.
     bool takesOlder(ListCall& call, const protocol::Roster& roster);
@@ -90,6 +93,7 @@
     std::unique_ptr<Several> several_;  // null with a single source
     std::int64_t version_;
     bool wholeWanted_ = false;  // the whole list, and no waiting for a change
+    const bool pushed_;
     sources::CallPacing pacing_;
     transport::Alarm next_;                         // rings when another call is due
     std::vector<std::unique_ptr<ListCall>> calls_;  // the oldest first
--- a/src/sources/call_pacing.hpp
+++ b/src/sources/call_pacing.hpp
@@ -3,15 +3,18 @@
 // What it promises, for a source of the list that answers at all:
 // - Progress: a call is never given up because another one is due. A call without an answer stays out beside
 //   newer ones until its own bound, so a source that needs longer than the interval between two calls is
-//   heard all the same.
+//   heard all the same. A source that refuses calls is crowded, and may end a call when the same router makes
+//   another: from a refusal until some prompt answers a call is left alone for kCrowdedInterval.
 // - Freshness: while the list can't be had, a new call begins at the latest kLongestInterval after the last
 // one
-//   began, and kLongestPause after one that failed. With a source that takes up to 3.6 s to answer, a change
-//   is known within 6 s.
+//   began (kCrowdedInterval at a crowded source), and kLongestPause after one that failed. With a source that
+//   takes up to 3.6 s to answer and refuses nothing, a change is known within 6 s.
+// - Room for others: a router holds no watch at a crowded source, whose answers to it would take turns from
+//   routers that have no list at all; it asks once in kCrowdedPeriod instead.
 // - Load: at most kMostCalls are out at a time. Calls that fail at once are repeated by a router of a fleet
 // of
-//   n after kPausePerRouter * n on the mean at most, within kShortestPause and kLongestPause: up to 300
-//   routers make at most 270 calls a second together, however few they are.
+//   n after kPausePerRouter * n at most, within kShortestPause and kLongestPause, a random half of it left
+//   out: up to 300 routers make at most 270 calls a second together, however few they are.
 #pragma once
 
 #include <cstddef>
@@ -35,22 +38,43 @@
 // Between two calls of which the first has no answer yet.
 constexpr Nanos kLongestInterval = 2'200 * kMillisecond;
 constexpr Nanos kShortestInterval = 1'800 * kMillisecond;
-// A connection is up within this time, or another one is tried beside it.
-constexpr Nanos kConnectInterval = 1'000 * kMillisecond;
+// The same at a crowded source: over the 3 to 4.5 s that one takes for the calls ahead, and short enough for
+// another call within 6 s.
+constexpr Nanos kCrowdedInterval = 4'600 * kMillisecond;
+// From the begin of a call at a crowded source that was answered to the begin of the next one.
+constexpr Nanos kCrowdedPeriod = 5'000 * kMillisecond;
+// From a prompt answer of one to the next call, which shows whether there is room again.
+constexpr Nanos kPromptPause = 500 * kMillisecond;
+// An answer within this time is that of a source that has room.
+constexpr Nanos kPromptAnswer = 1'000 * kMillisecond;
+// How many prompt answers in a row show that there is room again: one, and twice as many each time that it
+// was crowded again soon after.
+constexpr int kMostPromptAnswers = 4;
+constexpr Nanos kCrowdedAgainWithin = 15'000 * kMillisecond;
 // After a call that failed.
-constexpr Nanos kShortestPause = 500 * kMillisecond;
+constexpr Nanos kFirstPause = 500 * kMillisecond;   // by a router that has just heard of the list
+constexpr Nanos kUrgentAge = 4'000 * kMillisecond;  // since then; from here on the pause is the shortest one
+constexpr Nanos kShortestPause = 100 * kMillisecond;
 constexpr Nanos kLongestPause = 1'500 * kMillisecond;
 constexpr Nanos kPausePerRouter = 5 * kMillisecond;
 
 class CallPacing {
   public:
     // `routers` is the size of the fleet that asks the same source.
-    CallPacing(std::int64_t routers, std::uint64_t seed);
+    // A source may count as crowded where routers ask it by turns and there is no other one; where changes
+    // count as told at once, or another source can be asked, it never does.
+    CallPacing(std::int64_t routers, std::uint64_t seed, bool mayBeCrowded);
+    void setMayBeCrowded(bool may);
 
     void setRouters(std::int64_t routers) { routers_ = routers; }
-    // Before the next call after one that failed; a random half of it is left out, so that routers that
-    // failed together don't ask together.
-    Nanos pauseAfterFailure();
+    // Before the next call after one that failed, the list having been heard of `age` ago: a source with room
+    // for few calls hears those first that have waited longest. A random half of it is left out, so that
+    // routers that failed together don't ask together.
+    Nanos pauseAfterFailure(Nanos age);
+    // The source has refused a call, or has answered one after so long.
+    void refused(Nanos now);
+    void answered(Nanos now, Nanos after);
+    bool isCrowded() const { return promptAnswersLeft_ > 0; }
     // Between the begins of two calls while none is answered.
     Nanos intervalWithoutAnswer();
     // How long a watch may wait at the source. All routers call again with each change: were their waits over
@@ -61,6 +85,10 @@
     Nanos draw(Nanos least, Nanos most);
 
     std::int64_t routers_;
+    bool mayBeCrowded_;
+    int promptAnswersLeft_ = 0;  // until the source counts as one with room
+    int promptAnswersNeeded_ = 1;
+    Nanos hadRoomAt_ = kNever;  // since when it counts as that; kNever while it has always done so
     std::mt19937 random_;
 };
 
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -145,12 +145,6 @@
                           }) == 0;
 }
 
-bool Connection::accept(uv_stream_t* listener) {
-    if (uv_accept(listener, handle_->stream()) != 0) return false;
-    handle_->atOnce();
-    return true;
-}
-
 bool Connection::adopt(int descriptor) {
     const int opened = handle_->kind == Kind::tcp ? uv_tcp_open(&handle_->socket.tcp, descriptor)
                                                   : uv_pipe_open(&handle_->socket.local, descriptor);
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -37,9 +37,8 @@
     Connection(const Connection&) = delete;
     Connection& operator=(const Connection&) = delete;
 
-    bool open(const Address& to);        // then `opened`
-    bool accept(uv_stream_t* listener);  // from a listener's call
-    bool adopt(int descriptor);          // one accepted, or connected, by hand
+    bool open(const Address& to);  // then `opened`
+    bool adopt(int descriptor);    // one accepted, or connected, by hand
     void read(bool on);
     // False when the peer is gone or the pool is empty; the connection is of no further use then.
     bool write(std::string_view bytes);
--- a/src/transport/listener.cpp
+++ b/src/transport/listener.cpp
@@ -2,76 +2,134 @@
 
 #include <sys/socket.h>
 #include <sys/stat.h>
+#include <sys/un.h>
 #include <unistd.h>
 
 #include <cerrno>
 #include <cstdio>
 #include <cstring>
+#include <utility>
 
 namespace poppyscale::transport {
+namespace {
 
+constexpr int kBacklog = 4096;
+// Accepted in one turn, so that a storm of clients does not keep those that are there waiting.
+constexpr int kMostInTurn = 256;
+// After a failure for want of descriptors or memory, which others may free at any time.
+constexpr Nanos kPauseWhenExhausted = 10 * kMillisecond;
+// Of a backlog that is emptied before the listener goes.
+constexpr int kMostFailuresOfBacklog = 100;
+
+}  // namespace
+
+// libuv's own listener closes all who wait in the backlog where the system has no descriptor left for a
+// moment: they have sent requests by then. So the socket is polled, and accepted on here.
 Listener::Listener(Loop& loop, Admit admit, Connection::Kind kind)
-    : socket_(new Socket{}), admit_(std::move(admit)) {
-    if (kind == Connection::Kind::tcp)
-        uv_tcp_init(loop.raw(), &socket_->tcp);
-    else
-        uv_pipe_init(loop.raw(), &socket_->local, 0);
-    handle()->data = this;
-}
+    : loop_(loop), admit_(std::move(admit)), kind_(kind), retry_(loop, [this] { watch(true); }) {}
 
 Listener::~Listener() {
-    uv_close(handle(), [](uv_handle_t* h) { delete reinterpret_cast<Socket*>(h); });
+    if (poll_)
+        uv_close(reinterpret_cast<uv_handle_t*>(poll_),
+                 [](uv_handle_t* h) { delete reinterpret_cast<uv_poll_t*>(h); });
+    if (descriptor_ >= 0) ::close(descriptor_);
+}
+
+std::string Listener::fail() {
+    const std::string problem = uv_strerror(-errno);
+    if (descriptor_ >= 0) ::close(std::exchange(descriptor_, -1));
+    return problem;
+}
+
+std::string Listener::begin() {
+    if (::listen(descriptor_, kBacklog) != 0) return fail();
+    poll_ = new uv_poll_t{};
+    if (const int status = uv_poll_init(loop_.raw(), poll_, descriptor_); status != 0) {
+        delete std::exchange(poll_, nullptr);
+        return uv_strerror(status);
+    }
+    poll_->data = this;
+    watch(true);
+    return "";
 }
 
-std::string Listener::begin(int status) {
-    if (status == 0)
-        status =
-            uv_listen(reinterpret_cast<uv_stream_t*>(socket_), 4096, [](uv_stream_t* server, int failed) {
-                if (failed) return;
-                static_cast<Listener*>(server->data)->admit_([server](Connection& c) {
-                    return c.accept(server);
-                });
-            });
-    return status == 0 ? "" : uv_strerror(status);
+void Listener::watch(bool on) {
+    if (!on) return void(uv_poll_stop(poll_));
+    uv_poll_start(poll_, UV_READABLE,
+                  [](uv_poll_t* poll, int, int) { static_cast<Listener*>(poll->data)->acceptSome(); });
 }
 
 std::string Listener::listen(const Address& at) {
-    const std::string problem = begin(uv_tcp_bind(&socket_->tcp, reinterpret_cast<const sockaddr*>(&at), 0));
-    // Without this libuv sleeps after each accept.
-    uv_tcp_simultaneous_accepts(&socket_->tcp, 1);
-    return problem;
+    descriptor_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor_ < 0) return fail();
+    const int yes = 1;
+    if (::setsockopt(descriptor_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes) != 0 ||
+        ::bind(descriptor_, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0)
+        return fail();
+    return begin();
 }
 
 std::string Listener::listenOn(int descriptor) {
-    const std::string problem = begin(uv_tcp_open(&socket_->tcp, descriptor));
-    uv_tcp_simultaneous_accepts(&socket_->tcp, 1);
-    return problem;
+    descriptor_ = descriptor;
+    return begin();
 }
 
 std::string Listener::listenAt(const std::string& path) {
     const std::string fresh = path + "." + std::to_string(::getpid());
+    sockaddr_un at{};
+    at.sun_family = AF_UNIX;
+    if (fresh.size() >= sizeof at.sun_path) return uv_strerror(UV_ENAMETOOLONG);
+    std::memcpy(at.sun_path, fresh.data(), fresh.size());
+    descriptor_ = ::socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor_ < 0) return fail();
     ::unlink(fresh.c_str());
     // Before anyone can open it: between bind and chmod it would be open to all.
     const mode_t mask = ::umask(0177);
-    const int bound = uv_pipe_bind(&socket_->local, fresh.c_str());
+    const int bound = ::bind(descriptor_, reinterpret_cast<const sockaddr*>(&at), sizeof at);
     ::umask(mask);
-    std::string problem = begin(bound);
+    if (bound != 0) return fail();
+    std::string problem = begin();
     if (problem.empty() && ::rename(fresh.c_str(), path.c_str()) != 0) problem = std::strerror(errno);
     if (!problem.empty()) ::unlink(fresh.c_str());
     return problem;
 }
 
-int Listener::descriptor() const {
-    uv_os_fd_t descriptor{};
-    return uv_fileno(handle(), &descriptor) == 0 ? descriptor : -1;
+Listener::Accepted Listener::acceptOne() {
+    const int accepted = ::accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted < 0) {
+        if (errno == EAGAIN || errno == EWOULDBLOCK) return Accepted::none;
+        const bool isFull = errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM;
+        // Others are of the connection that waited, which is gone, or of this call alone.
+        return isFull ? Accepted::exhausted : Accepted::again;
+    }
+    bool adopted = false;
+    admit_([&](Connection& connection) {
+        adopted = true;
+        return connection.adopt(accepted);
+    });
+    if (!adopted) ::close(accepted);
+    return Accepted::one;
+}
+
+void Listener::acceptSome() {
+    for (int i = 0; i < kMostInTurn && descriptor_ >= 0; ++i) {
+        const Accepted result = acceptOne();
+        if (result == Accepted::none) return;
+        if (result == Accepted::exhausted) return rest(errno);
+    }
+}
+
+void Listener::rest(int error) {
+    watch(false);
+    retry_.set(Loop::now() + kPauseWhenExhausted);
+    if (exhausted_) exhausted_(std::strerror(error));
 }
 
 void Listener::takeBacklog() {
-    const int from = descriptor();
-    while (from >= 0) {
-        const int accepted = ::accept4(from, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (accepted < 0) return;
-        admit_([accepted](Connection& c) { return c.adopt(accepted); });
+    for (int failures = 0; descriptor_ >= 0 && failures < kMostFailuresOfBacklog;) {
+        const Accepted result = acceptOne();
+        if (result == Accepted::none) return;
+        if (result != Accepted::one) ++failures;
     }
 }
 
--- a/tests/ends_test.cpp
+++ b/tests/ends_test.cpp
@@ -269,7 +269,8 @@
     transport::Pool pool{64};
     transport::Loop loop;
     Owner owner;
-    routing::Links links{loop, pool, owner, 8, 60'000 * ms, 2'000 * ms, {}, 64 * 1024};
+    routing::Guard guard{[](std::string_view) {}};
+    routing::Links links{loop, pool, owner, guard, 8, 60'000 * ms, 2'000 * ms, {}, 64 * 1024};
     Door door;
     routing::Upstream cache{links, false};
     cache.listed(Presence::ready, transport::parseAddress(door.address()), door.address());
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -42,7 +42,8 @@
 // One cache's connections without a program round them. Notes how relays end, and stops the loop for the
 // story to go on.
 struct Bare : routing::RelayOwner {
-    explicit Bare(std::size_t mostHeld) : links{loop, pool, *this, 8, 1'000 * ms, 200 * ms, {}, mostHeld} {
+    explicit Bare(std::size_t mostHeld)
+        : links{loop, pool, *this, guard, 8, 1'000 * ms, 200 * ms, {}, mostHeld} {
         loop.eachTurn([this] { links.tend(); });
         cache.listed(Presence::ready, transport::parseAddress(door.address()), door.address());
     }
@@ -63,6 +64,8 @@
 
     transport::Pool pool{64};
     transport::Loop loop;
+    routing::Guard guard{[this](std::string_view text) { violations.emplace_back(text); }};
+    std::vector<std::string> violations;
     routing::Links links;
     Door door;
     routing::Upstream cache{links, false};
--- /dev/null
+++ b/tests/system_calls_test.cpp
@@ -0,0 +1,195 @@
+// System calls of the router that fail for a moment, in the ways that Linux documents: every request has its
+// answer.
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <sys/mman.h>
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <thread>
+
+#include "helper.hpp"
+#include "lab/faults/plan.hpp"
+
+using namespace poppyscale;
+using namespace poppyscale::test;
+using namespace std::chrono_literals;
+namespace faults = poppyscale::lab::faults;
+
+namespace {
+
+// The plan that a router started while this lives maps.
+class FaultPlan {
+  public:
+    FaultPlan() {
+        char path[] = "/tmp/poppyscale-faults-XXXXXX";
+        const int fd = mkstemp(path);
+        file_ = path;
+        if (fd < 0 || ftruncate(fd, sizeof(faults::Plan)) != 0)
+            throw std::runtime_error("no file for a plan");
+        void* const at = mmap(nullptr, sizeof(faults::Plan), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
+        close(fd);
+        if (at == MAP_FAILED) throw std::runtime_error("no memory for a plan");
+        plan_ = new (at) faults::Plan;
+        setenv(faults::kVariable, path, 1);
+        setenv("LD_PRELOAD", POPPYLAB_FAULTS, 1);
+        setenv("ASAN_OPTIONS", "verify_asan_link_order=0", 1);
+    }
+    ~FaultPlan() {
+        unsetenv(faults::kVariable);
+        unsetenv("LD_PRELOAD");
+        unsetenv("ASAN_OPTIONS");
+        munmap(plan_, sizeof(faults::Plan));
+        unlink(file_.c_str());
+    }
+    FaultPlan(const FaultPlan&) = delete;
+    FaultPlan& operator=(const FaultPlan&) = delete;
+
+    void fail(faults::Call call, faults::Way way, double share) {
+        plan_->share[static_cast<std::size_t>(call)][static_cast<std::size_t>(way)] =
+            static_cast<std::uint32_t>(share * faults::kOne);
+    }
+    std::uint64_t happened(faults::Call call, faults::Way way) const {
+        return plan_->happened[static_cast<std::size_t>(call)][static_cast<std::size_t>(way)];
+    }
+
+  private:
+    std::string file_;
+    faults::Plan* plan_ = nullptr;
+};
+
+// A cache server that has every key.
+class FullCache {
+  public:
+    FullCache() : thread_([this] { run(); }) {}
+    ~FullCache() {
+        stopped_ = true;
+        thread_.join();
+    }
+    Door door;
+
+  private:
+    void run() {
+        std::vector<Socket> peers;
+        while (!stopped_) {
+            if (!door.quiet(1)) peers.push_back(door.accept());
+            for (Socket& peer : peers)
+                while (peer.open() && !peer.quiet(0)) {
+                    if (peer.command().empty()) {
+                        peer.hangUp();
+                        break;
+                    }
+                    peer.say(hit("value"));
+                }
+        }
+    }
+    std::atomic<bool> stopped_ = false;
+    std::thread thread_;
+};
+
+struct Counted {
+    int answered = 0;
+    int rejected = 0;
+    int unanswered = 0;
+};
+
+// Requests, each on a connection of its own.
+Counted ask(std::uint16_t port, int requests) {
+    Counted counted;
+    for (int i = 0; i < requests; ++i) {
+        Socket client(port);
+        client.say(get("k" + std::to_string(i % 20)));
+        const std::string answer = client.answer();
+        if (answer == "value")
+            ++counted.answered;
+        else if (answer.starts_with("-"))
+            ++counted.rejected;
+        else
+            ++counted.unanswered;
+    }
+    return counted;
+}
+
+struct Case {
+    faults::Call call;
+    faults::Way way;
+    double share;
+};
+
+void checkCases(const std::vector<Case>& cases, int requests) {
+    FaultPlan plan;
+    FullCache cache;
+    Place place;
+    Door discovery;
+    auto start = smallStart();
+    start["listen"] = "127.0.0.1:" + std::to_string(place.port);
+    start["discovery"] = discovery.address();
+    start["known"] = {{"version", 7}, {"full", true}, {"servers", {entryOf("c0", cache.door)}}};
+    Program program(start.dump());
+    for (int tries = 0; tries < 100 && Socket(place.port).say(array({"PING"})).line() != "+PONG"; ++tries)
+        std::this_thread::sleep_for(50ms);
+    for (const Case& one : cases) plan.fail(one.call, one.way, one.share);
+    const Counted counted = ask(place.port, requests);
+    CAPTURE(program.log());
+    CHECK(counted.unanswered == 0);
+    CHECK(counted.answered + counted.rejected == requests);
+    CHECK(counted.answered > requests / 2);
+    for (const Case& one : cases) {
+        CAPTURE(faults::kCallNames[static_cast<std::size_t>(one.call)]);
+        CAPTURE(faults::kWayNames[static_cast<std::size_t>(one.way)]);
+        CHECK(plan.happened(one.call, one.way) > 0);
+    }
+    CHECK(program.running());
+    CHECK(program.log().find("invariant violated") == std::string::npos);
+}
+
+}  // namespace
+
+TEST_CASE("a client that connects while accepting fails for a moment has its answer") {
+    using faults::Call;
+    using faults::Way;
+    for (const Way way : {Way::noFiles, Way::noBuffers, Way::noMemory, Way::aborted, Way::interrupted}) {
+        CAPTURE(faults::kWayNames[static_cast<std::size_t>(way)]);
+        checkCases({{Call::accept, way, 0.1}}, 200);
+    }
+}
+
+TEST_CASE("connections to servers that can't be made for a moment cost no request its answer") {
+    using faults::Call;
+    using faults::Way;
+    checkCases({{Call::socket, Way::noFiles, 0.1},
+                {Call::connect, Way::noAddress, 0.1},
+                {Call::connect, Way::unreachable, 0.1},
+                {Call::connect, Way::timedOut, 0.1},
+                {Call::read, Way::noHost, 0.1}},
+               300);
+}
+
+TEST_CASE("short and interrupted reads, writes and polls change nothing") {
+    using faults::Call;
+    using faults::Way;
+    checkCases({{Call::read, Way::partial, 0.6},
+                {Call::read, Way::interrupted, 0.1},
+                {Call::read, Way::tryAgain, 0.1},
+                {Call::write, Way::partial, 0.6},
+                {Call::write, Way::interrupted, 0.1},
+                {Call::write, Way::tryAgain, 0.1},
+                {Call::pollWait, Way::interrupted, 0.2}},
+               300);
+}
+
+TEST_CASE("all of these together") {
+    using faults::Call;
+    using faults::Way;
+    checkCases({{Call::accept, Way::noFiles, 0.05},
+                {Call::accept, Way::aborted, 0.05},
+                {Call::socket, Way::noBuffers, 0.5},
+                {Call::connect, Way::noHost, 0.5},
+                {Call::read, Way::partial, 0.4},
+                {Call::read, Way::timedOut, 0.02},
+                {Call::write, Way::partial, 0.4},
+                {Call::write, Way::noBuffers, 0.05},
+                {Call::pollWait, Way::interrupted, 0.1}},
+               300);
+}
