A refused call is repeated after 1.5 to 3 s: refusals cost discovery work, and storms of them held themselves up

The logs show refusals after 17 ms each, and answers to a router that does hold a watch 3.7, 4.0 and 5.5 s apart: what is refused takes work from what is let in. call_pacing.hpp had the pause shrink with the age of the list. The lab's crowded discovery spends a thirtieth of a turn on a refusal.

--- a/src/lab/model/world.cpp
+++ b/src/lab/model/world.cpp
@@ -11,7 +11,8 @@
 namespace poppyscale::lab {
 namespace {
 
-constexpr double kMissWork = 0.25;   // of a read's work, where the key isn't there
+constexpr int kRefusalPart = 30;    // of a turn of discovery's, that a refused call takes where it is crowded
+constexpr double kMissWork = 0.25;  // of a read's work, where the key isn't there
 constexpr double kHeavyFactor = 10;  // of what a fault makes heavy
 constexpr std::size_t kRemembered = 1 << 18;
 constexpr Nanos kFrontSeesTerm = 300 * kMillisecond;
@@ -632,7 +633,7 @@
     discoveryFreeAt_ = std::max(now, discoveryFreeAt_) + turn;
     const bool late = discoveryFreeAt_ - now > scenario_.discovery.limit;
     if (late && scenario_.discovery.crowded && !discoveryDown_) {
-        discoveryFreeAt_ -= turn;
+        discoveryFreeAt_ -= turn - turn / kRefusalPart;
         return refuseSoon(now, router, call), call;
     }
     if (discoveryDown_ || late) {
--- a/src/sources/call_pacing.cpp
+++ b/src/sources/call_pacing.cpp
@@ -24,6 +24,7 @@
 }
 
 Nanos CallPacing::pauseAfterFailure(Nanos age) {
+    if (isCrowded()) return draw(kShortestRefusedPause, kLongestRefusedPause);
     const Nanos byFleet = std::clamp(routers_ * kPausePerRouter, kShortestPause, kLongestPause);
     const double left = std::clamp(1 - static_cast<double>(age) / static_cast<double>(kUrgentAge), 0.0, 1.0);
     const Nanos longest = std::max(byFleet, static_cast<Nanos>(left * static_cast<double>(kFirstPause)));
--- a/src/sources/call_pacing.hpp
+++ b/src/sources/call_pacing.hpp
@@ -51,10 +51,14 @@
 // was crowded again soon after.
 constexpr int kMostPromptAnswers = 4;
 constexpr Nanos kCrowdedAgainWithin = 15'000 * kMillisecond;
-// After a call that failed.
+// After a call that a crowded source refused: refusing costs it work too, and calls that come sooner take it
+// from those that are let in.
+constexpr Nanos kShortestRefusedPause = 1'500 * kMillisecond;
+constexpr Nanos kLongestRefusedPause = 3'000 * kMillisecond;
+// After a call that failed otherwise.
 constexpr Nanos kFirstPause = 500 * kMillisecond;   // by a router that has just heard of the list
 constexpr Nanos kUrgentAge = 4'000 * kMillisecond;  // since then; from here on the pause is the shortest one
-constexpr Nanos kShortestPause = 100 * kMillisecond;
+constexpr Nanos kShortestPause = 400 * kMillisecond;
 constexpr Nanos kLongestPause = 1'500 * kMillisecond;
 constexpr Nanos kPausePerRouter = 5 * kMillisecond;
 
