--- a/src/lab/soak/draw.cpp
+++ b/src/lab/soak/draw.cpp
@@ -17,6 +17,9 @@
 constexpr Nanos kShortestFault = 500 * kMillisecond;
 constexpr Nanos kLongestFault = 9 * kSecond;
 constexpr double kFaultsPerSecond = 0.8;
+constexpr double kCrowdedDays = 0.35;   // share of days on which discovery has room for few calls
+constexpr double kShortestTurns = 1.5;  // s, that a crowded discovery takes for a call of each router
+constexpr double kLongestTurns = 3;
 
 // A system call that fails in a way that Linux documents, and that a router can bear without a request's
 // loss.
@@ -81,12 +84,18 @@
     }
 
     Scenario day() {
+        if (chance_.yes(kCrowdedDays)) crowd();
         const Nanos end = day_.length - kQuietEnd;
         for (Nanos at = kQuietStart; at < end; at += chance_.gap(kFaultsPerSecond)) add(at, end);
         return day_;
     }
 
   private:
+    // Room for each router's call once in so many seconds, which a fleet can live with.
+    void crowd() {
+        day_.discovery.crowded = true;
+        day_.discovery.perSecond = day_.routers.count / between(kShortestTurns, kLongestTurns);
+    }
     double between(double least, double most) { return least + chance_.part() * (most - least); }
     int someCaches() { return 1 + chance_.below(std::max(day_.cacheCount() / 5, 1)); }
 
