Unused accessors go; the promises of call pacing say what it does since refusals are repeated later

Change: the comments, and what had no caller. No behaviour changes. Result: the tests of system calls, slow discovery and of the watch pass again, lint is clean.

--- a/src/routing/guard.cpp
+++ b/src/routing/guard.cpp
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <nlohmann/json.hpp>
-#include <numeric>
 
 namespace poppyscale::routing {
 namespace {
@@ -11,8 +10,7 @@
 constexpr std::array<std::string_view, static_cast<std::size_t>(Invariant::count)> kInvariants{
     "sending", "repeating", "closing", "starting"};
 constexpr std::array<std::string_view, static_cast<std::size_t>(Refusal::count)> kRefusals{
-    "server_leaves",  "address_moved",  "client_left", "no_time_left",
-    "may_not_repeat", "request_closed", "still_owed"};
+    "server_leaves", "client_left", "no_time_left", "may_not_repeat", "request_closed", "still_owed"};
 
 }  // namespace
 
@@ -22,10 +20,6 @@
     log_(fmt::format("invariant violated: {}: {}", kInvariants[index], what));
 }
 
-std::uint64_t Guard::violations() const {
-    return std::accumulate(violated_.begin(), violated_.end(), std::uint64_t{0});
-}
-
 nlohmann::json Guard::json() const {
     auto refused = nlohmann::json::object(), violated = nlohmann::json::object();
     for (std::size_t i = 0; i < refused_.size(); ++i) refused[std::string(kRefusals[i])] = refused_[i];
--- a/src/routing/guard.hpp
+++ b/src/routing/guard.hpp
@@ -27,7 +27,6 @@
 // Why an attempt was not begun, or a connection not closed.
 enum class Refusal : std::uint8_t {
     serverLeaves,   // it drains, is gone or was taken out
-    addressMoved,   // the connection is to where the server is no more
     clientLeft,     // nobody waits for the answer
     noTimeLeft,     // the request's time, or the one by which it may be repeated, is over
     mayNotRepeat,   // it may have run
@@ -45,8 +44,6 @@
     // It happened all the same. `what` names the request, server or client.
     void violated(Invariant invariant, const std::string& what);
 
-    std::uint64_t refusals(Refusal why) const { return refused_[static_cast<std::size_t>(why)]; }
-    std::uint64_t violations() const;
     // By name, for operators.
     nlohmann::json json() const;
 
--- a/src/routing/list_call.hpp
+++ b/src/routing/list_call.hpp
@@ -49,7 +49,6 @@
 
     const Request& request() const { return request_; }
     const DiscoveryAddress& source() const { return source_; }
-    bool isConnecting() const { return phase_ == Phase::connecting; }
     // The answer, after `answered`.
     int status() const { return answer_.status(); }
     std::string_view body() { return answer_.body(); }
--- a/src/routing/watch.hpp
+++ b/src/routing/watch.hpp
@@ -40,7 +40,6 @@
     const std::string& source() const { return source_.host; }  // in use, or the next to be asked
     std::size_t sourceCount() const { return several_ ? several_->addresses.size() : 1; }
     std::uint64_t calls() const { return callsWritten_; }  // since the start
-    std::size_t callsOut() const { return calls_.size(); }
     // Why the list can't be had, from the first failure until an answer that can be used; empty while it can.
     const std::string& trouble() const { return trouble_; }
     // When discovery last said what holds, if only that nothing has changed.
--- a/src/sources/call_pacing.hpp
+++ b/src/sources/call_pacing.hpp
@@ -6,15 +6,15 @@
 //   heard all the same. A source that refuses calls is crowded, and may end a call when the same router makes
 //   another: from a refusal until some prompt answers a call is left alone for kCrowdedInterval.
 // - Freshness: while the list can't be had, a new call begins at the latest kLongestInterval after the last
-// one
-//   began (kCrowdedInterval at a crowded source), and kLongestPause after one that failed. With a source that
-//   takes up to 3.6 s to answer and refuses nothing, a change is known within 6 s.
+//   one began (kCrowdedInterval at a crowded source), and kLongestPause after one that failed
+//   (kLongestRefusedPause after one that was refused). With a source that takes up to 3.6 s to answer and
+//   refuses nothing, a change is known within 6 s.
 // - Room for others: a router holds no watch at a crowded source, whose answers to it would take turns from
 //   routers that have no list at all; it asks once in kCrowdedPeriod instead.
-// - Load: at most kMostCalls are out at a time. Calls that fail at once are repeated by a router of a fleet
-// of
-//   n after kPausePerRouter * n at most, within kShortestPause and kLongestPause, a random half of it left
-//   out: up to 300 routers make at most 270 calls a second together, however few they are.
+// - Load: at most kMostCalls are out at a time. Refusing costs a source work, so a refused call is repeated
+//   after kShortestRefusedPause at least. Calls that fail otherwise are repeated by a router of a fleet of n
+//   after kPausePerRouter * n, within kShortestPause and kLongestPause, a random half of it left out: up to
+//   300 routers make at most 270 calls a second together, however few they are.
 #pragma once
 
 #include <cstddef>
@@ -71,8 +71,7 @@
     void setMayBeCrowded(bool may);
 
     void setRouters(std::int64_t routers) { routers_ = routers; }
-    // Before the next call after one that failed, the list having been heard of `age` ago: a source with room
-    // for few calls hears those first that have waited longest. A random half of it is left out, so that
+    // Before the next call after one that failed, the list having been heard of `age` ago. Drawn, so that
     // routers that failed together don't ask together.
     Nanos pauseAfterFailure(Nanos age);
     // The source has refused a call, or has answered one after so long.
