Keep a connection without requests for 50 ms after a response: a late copy met the next one

A connection could be used again at once after a response, and the check for unread bytes does not see what is on its way. Ruled out: a wrong assignment in the router (without second copies no foreign value), a path without the check.

Change: UpstreamConnection has a state coolingDown between busy and idle; only an idle connection gets a request, bytes without an attempt close it, and a waiting attempt opens another one within the pool's limits. One place for RESP2, HTTP, short and streamed responses. The loop that closed idle connections of a silent server one by one and the one for stale connections share removeConnections.

--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -1,5 +1,6 @@
 #include "proxy/upstream_connection.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace poppyscale::proxy {
@@ -7,6 +8,8 @@
 
 // An attempt with a streamed value fails when no byte of the value was transferred for this long.
 constexpr Nanos kBodyIdleTimeout = 5'000 * kMillisecond;
+// How late a second copy of a response may arrive without being taken for the next response.
+constexpr Nanos kCooldownDuration = 50 * kMillisecond;
 
 }  // namespace
 
@@ -74,6 +77,7 @@
     // being established.
     if (isStale()) return owner_.remove(*this);
     connection_.setReading(true);
+    idleSince_ = transport::EventLoop::now();
     becomeIdle();
 }
 
@@ -84,6 +88,8 @@
 
 void UpstreamConnection::onTimer() {
     if (state_ == State::connecting) return onConnectFailed();
+    const bool isCooldownOver = state_ == State::coolingDown && pool_.idleTimeout() > kCooldownDuration;
+    if (isCooldownOver) return becomeIdle();
     owner_.remove(*this);
 }
 
@@ -190,11 +196,17 @@
 
 void UpstreamConnection::becomeIdle() {
     state_ = State::idle;
-    idleSince_ = transport::EventLoop::now();
     timer_.start(idleSince_ + pool_.idleTimeout());
     pool_.notifyCapacityFreed();
 }
 
+void UpstreamConnection::beginCooldown() {
+    state_ = State::coolingDown;
+    idleSince_ = transport::EventLoop::now();
+    timer_.start(idleSince_ + std::min(kCooldownDuration, pool_.idleTimeout()));
+    pool_.notifyCapacityFreed();
+}
+
 void UpstreamConnection::endAttempt(protocol::AttemptResponse response, bool isReusable) {
     AttemptHandler& handler = pool_.handler();
     // If the response came before the whole request was written, it is unknown how much of the request
@@ -206,7 +218,7 @@
     bufferedBytes_ = 0;
     responseBodyLeft_ = 0;
     if (isKept)
-        becomeIdle();
+        beginCooldown();
     else
         owner_.remove(*this);
     handler.onAttemptEnded(*attempt, std::move(response));
--- a/src/proxy/upstream_connection.hpp
+++ b/src/proxy/upstream_connection.hpp
@@ -18,7 +18,12 @@
 // Carries one attempt at a time: responses come in order, so a second request would wait behind a slow
 // first one.
 //
-//     connecting --> idle <--> busy
+//     connecting --> idle --> busy --> coolingDown --> idle
+//
+// Nothing in a response names its request. A server may send a second copy of a response some
+// milliseconds late, which would be taken for the response to the next request on the connection. So no
+// request is written before a fixed time has passed since the last response; bytes that arrive while no
+// attempt is in flight close the connection.
 //
 // From each state the connection may be removed: it calls `Owner::remove`, which destroys it within that
 // call. Functions that may remove the connection say so; the object must not be used afterwards.
@@ -49,14 +54,17 @@
     bool open();
     // Removes the connection, and fails the attempt that has waited longest.
     void onConnectFailed();
-    // Writes the request of an attempt. The connection must be idle; it may be removed.
+    // Writes the request of an attempt. The connection must be reusable; it may be removed.
     void start(Attempt& attempt);
     // Detaches and returns the attempt in flight; null without one. The caller must then remove the
-    // connection or make it idle.
+    // connection or begin its cooldown.
     Attempt* releaseAttempt();
 
     bool isConnecting() const { return state_ == State::connecting; }
-    bool isIdle() const { return state_ == State::idle; }
+    // Whether no attempt is in flight on the open connection.
+    bool isIdle() const { return state_ == State::idle || state_ == State::coolingDown; }
+    // Whether a request may be written.
+    bool isReusable() const { return state_ == State::idle; }
     bool isBusy() const { return state_ == State::busy; }
     // Whether neither unread bytes nor the end of the stream have arrived.
     bool isInputEmpty() const { return connection_.isIdle(); }
@@ -70,9 +78,10 @@
   private:
     enum class State : std::uint8_t {
         connecting,
-        idle,      // open, without an attempt
-        busy,      // open, with an attempt in flight
-        releasing  // the attempt was detached; the connection becomes idle or is removed next
+        idle,         // open, without an attempt
+        busy,         // open, with an attempt in flight
+        releasing,    // the attempt was detached; the connection cools down or is removed next
+        coolingDown,  // open, without an attempt; a second copy of its last response may still arrive
     };
 
     void onConnected(bool success) override;
@@ -97,7 +106,8 @@
 
     // Transitions.
     void becomeIdle();
-    // Ends the attempt with a response. The connection becomes idle if it can be reused, else is removed.
+    void beginCooldown();
+    // Ends the attempt with a response. The connection cools down if it can be reused, else is removed.
     void endAttempt(protocol::AttemptResponse response, bool isReusable);
     // Removes the connection, and ends its attempt.
     void breakOff(AttemptOutcome outcome);
@@ -108,7 +118,7 @@
     ConnectionPool& pool_;
     const transport::Address address_;
     transport::Connection connection_;
-    transport::Timer timer_;  // connecting: the connect timeout; idle: the idle timeout
+    transport::Timer timer_;  // connecting: the connect timeout; coolingDown: its end; idle: the idle timeout
     std::unique_ptr<UpstreamCodec> codec_;
     State state_ = State::connecting;
     Attempt* attempt_ = nullptr;
--- a/src/proxy/upstream_server.cpp
+++ b/src/proxy/upstream_server.cpp
@@ -27,11 +27,17 @@
     closeStale();
 }
 
-void UpstreamServer::closeStale() {
-    std::vector<UpstreamConnection*> stale;
+template <class Predicate>
+void UpstreamServer::removeConnections(Predicate isRemoved) {
+    std::vector<UpstreamConnection*> removed;
     for (auto& connection : connections_)
-        if (!connection->isBusy() && connection->isStale()) stale.push_back(connection.get());
-    for (UpstreamConnection* connection : stale) remove(*connection);
+        if (isRemoved(*connection)) removed.push_back(connection.get());
+    for (UpstreamConnection* connection : removed) remove(*connection);
+}
+
+void UpstreamServer::closeStale() {
+    removeConnections(
+        [](const UpstreamConnection& connection) { return !connection.isBusy() && connection.isStale(); });
     if (isUsable()) return;
     // Attempts that wait for a connection must not be sent to an unusable server.
     while (!waiting_.empty()) {
@@ -69,7 +75,7 @@
 
 void UpstreamServer::serveWaiting() {
     while (!waiting_.empty()) {
-        UpstreamConnection* const connection = mostRecentlyUsedIdle();
+        UpstreamConnection* const connection = mostRecentlyUsed();
         if (!connection) break;
         // Unread bytes or the end of the stream have arrived while the connection was idle: a request on
         // it would be lost.
@@ -91,7 +97,7 @@
 }
 
 // Opens connections until one is being established for each waiting attempt. The first connection that
-// becomes idle takes the next attempt.
+// becomes reusable takes the next attempt.
 void UpstreamServer::openConnections() {
     for (auto count = connectingCount(); count < waiting_.size() && address_; ++count) {
         if (!pool_.ensureCapacity()) return;
@@ -114,10 +120,10 @@
 }
 
 // Reusing the most recently used connection lets the others reach their idle timeout.
-UpstreamConnection* UpstreamServer::mostRecentlyUsedIdle() {
+UpstreamConnection* UpstreamServer::mostRecentlyUsed() {
     UpstreamConnection* best = nullptr;
     for (auto& connection : connections_)
-        if (connection->isIdle() && (!best || connection->idleSince() > best->idleSince()))
+        if (connection->isReusable() && (!best || connection->idleSince() > best->idleSince()))
             best = connection.get();
     return best;
 }
@@ -165,11 +171,8 @@
     // its connections open although nothing arrives on them. The idle ones are closed then: the next attempt
     // on a new connection fails as not executed, while on an old one it would time out and might have
     // executed.
-    while (lastActivity_ < attempt.sentAt()) {
-        UpstreamConnection* const idle = mostRecentlyUsedIdle();
-        if (!idle) break;
-        remove(*idle);
-    }
+    if (lastActivity_ < attempt.sentAt())
+        removeConnections([](const UpstreamConnection& candidate) { return candidate.isIdle(); });
     endAttempt(attempt, outcome);
 }
 
--- a/src/proxy/upstream_server.hpp
+++ b/src/proxy/upstream_server.hpp
@@ -45,7 +45,7 @@
         return state_ == EndpointState::removed && connections_.empty() && waiting_.empty();
     }
 
-    // Writes the attempt's request on an idle connection, or queues the attempt until there is one.
+    // Writes the attempt's request on a reusable connection, or queues the attempt until there is one.
     void send(Attempt& attempt);
     // Ends the attempt because its timeout has fired.
     void abandon(Attempt& attempt);
@@ -77,7 +77,9 @@
     void closeStale();
     void closeSurplus();
     std::size_t connectingCount() const;
-    UpstreamConnection* mostRecentlyUsedIdle();
+    UpstreamConnection* mostRecentlyUsed();
+    template <class Predicate>
+    void removeConnections(Predicate isRemoved);
 
     ConnectionPool& pool_;
     const bool isOrigin_;
--- a/tests/fixtures.hpp
+++ b/tests/fixtures.hpp
@@ -63,6 +63,8 @@
     ~Socket() { close(); }
 
     bool isOpen() const { return descriptor_ >= 0; }
+    // Whether bytes or the end of the connection arrive within kWaitTimeoutMs.
+    bool awaitInput() const { return !received_.empty() || becomesReadable(descriptor_, kWaitTimeoutMs); }
     void close() {
         if (isOpen()) ::close(std::exchange(descriptor_, -1));
     }
@@ -167,6 +169,10 @@
     bool isClosedByPeer_ = false;
 };
 
+// Waits until a connection to a server may get its next request after a response: none is sent while a second
+// copy of that response could still arrive.
+inline void awaitReuse() { usleep(100'000); }
+
 // A listening socket that the router connects to: a cache server, the origin or discovery.
 class TestServer {
   public:
--- a/tests/long_value_test.cpp
+++ b/tests/long_value_test.cpp
@@ -132,6 +132,7 @@
     CHECK(client.readLine().empty());
     sending.join();
     // The connection to the cache server is reused, and so is the client's.
+    awaitReuse();
     client.send(get("m"));
     CHECK(cache.readCommand().at(1) == "m");
     cache.send(kMiss);
@@ -240,6 +241,7 @@
     CHECK(client.readResponse() == "receipt");
     CHECK(client.readLine() == "+PONG");
     // A write in odd chunks, with another write right behind it.
+    awaitReuse();
     const std::string small = longValue(66'000, 2);
     const std::string both =
         writeHead(small.size()) + small + "\r\n" + writeHead(small.size(), "9b1f-m") + small + "\r\n";
