Hold back pipelined requests while there is no memory for their responses, close no client for it

Ruled out: a time limit, a client that does not read, a slow first request.

Change: ResponseBudget reserves the recent maximum of response sizes for each request behind another one of its connection; without capacity the rest of the input stays unparsed and is not read further, its time counting from its arrival. The first request always goes on. Held input has half of the memory for incomplete requests, beyond it is answered -BUSY. If sizes grow suddenly, the largest response is replaced by -ERR. Output is written in parts of 64 KiB while the kernel takes it, so what waits stays where it is limited. Related paths in the same place: an incomplete request over its limit no longer costs the responses before it; input behind a long write counted its time from the write's end; a connection that holds input is not closed as idle, and what it holds is answered -BUSY when the router stops.

--- a/src/process/process_lifecycle.cpp
+++ b/src/process/process_lifecycle.cpp
@@ -131,6 +131,7 @@
                          fmt::format("{} stops; {} clients connected{}", config_.startup().name,
                                      dataPath_.clientListener().count(), failedText));
     dataPath_.dispatcher().failAll();
+    dataPath_.clientListener().rejectHeldRequests();
     loop_.stop();
 }
 
--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t kMaxPipelinedRequests = 128;
 // No requests are read while this many bytes are unsent.
 constexpr std::size_t kMaxUnsentBytes = 256 * 1024;
+// Responses are written in parts of about this size.
+constexpr std::size_t kMaxWriteBytes = 64 * 1024;
 constexpr std::size_t kMaxReadPerIteration = 32 * 1024;
 constexpr std::size_t kMaxIgnoredBytes = 64 * 1024;  // read from a connection that is closing
 
@@ -74,9 +76,10 @@
 }
 
 void ClientConnection::continueReading() {
-    if (unparsed_.empty() || write_.isActive()) return flush();
+    if (holdsInput() && lacksResponseCapacity()) owner_.awaitResponseCapacity(*this);
+    if (unparsed_.empty() || holdsBackInput()) return flush();
     const std::string unparsed = std::exchange(unparsed_, {});
-    parse(unparsed, transport::EventLoop::now());
+    parse(unparsed, unparsedArrivedAt_);
 }
 
 bool ClientConnection::hasDisconnectedUnread() const {
@@ -107,12 +110,14 @@
     if (!decoder_.isInValue() && requestBegunAt_ == 0) requestBegunAt_ = transport::EventLoop::now();
     using DecoderState = protocol::RespDecoder::State;
     DecoderState state = DecoderState::complete;
-    while (state != DecoderState::more && state_ == State::open && !write_.holdsBackInput()) {
+    while (state != DecoderState::more && state_ == State::open && !holdsBackInput()) {
         state = decoder_.feed(bytes);
         onDecoded(state, arrivedAt);
         if (state == DecoderState::complete) requestBegunAt_ = lastActivity_;
     }
-    unparsed_ = bytes;
+    unparsed_ = state_ == State::open ? bytes : std::string_view();
+    unparsedArrivedAt_ = arrivedAt;
+    if (holdsInput() && !write_.isActive()) owner_.awaitResponseCapacity(*this);
     if (state_ != State::open) abandonStreamedWrite();
     reportPartialRequest();
     if (!decoder_.isInValue() || state_ != State::open) requestBegunAt_ = 0;
@@ -160,9 +165,14 @@
 // write is sent only after that.
 void ClientConnection::dispatch(PipelinedRequest& slot, protocol::Request request, Nanos arrivedAt,
                                 RequestBody* body) {
-    if (!owner_.acceptsRequests(request.timeout)) return respond(slot, protocol::rejectedResponse());
+    const bool isBehindAnother = !pipeline_.isFront(slot);
+    const bool hasCapacity = !isBehindAnother || owner_.responseBudget().hasCapacity();
+    const bool isShed = !hasCapacity && !owner_.mayHoldInput();
+    if (isShed || !owner_.acceptsRequests(request.timeout))
+        return respond(slot, protocol::rejectedResponse());
     const auto accepted = dispatcher_.accept(slot, std::move(request), arrivedAt, body);
     slot.setPending(accepted.request);
+    reportUsage();
     if (body && accepted.request) write_.accept();
     if (!accepted.problem) markValidRequestSent();
     if (accepted.request) return;
@@ -216,7 +226,16 @@
     if (!request) return;
     if (request->pending()) dispatcher_.onClientDisconnected(*request->pending());
     pipeline_.remove(*request);
-    reportUnsent();
+    reportUsage();
+}
+
+void ClientConnection::rejectIncompleteRequest() {
+    if (!hasOutstandingResponses()) return owner_.remove(*this);
+    replyAndClose(protocol::protocolErrorResponse("no memory is left for incomplete commands"));
+    abandonStreamedWrite();
+    unparsed_.clear();
+    reportPartialRequest();
+    owner_.deferReading(*this);
 }
 
 // ---- Responses
@@ -234,6 +253,7 @@
 }
 
 void ClientConnection::onCompleted(PipelinedRequest& request, FinalResponse response) {
+    owner_.responseBudget().recordResponse(response.value.size());
     respond(request, encode(response));
     markActive();
     if (write_.request() == &request) write_.discardAndFinish();
@@ -241,7 +261,9 @@
 }
 
 void ClientConnection::onStreamBegins(PipelinedRequest& request, std::size_t length) {
-    respond(request, protocol::streamedValueHead(length));
+    owner_.responseBudget().recordResponse(std::min(length, kRequestLimits.maxBulkLength));
+    pipeline_.beginStream(request, protocol::streamedValueHead(length));
+    reportUsage();
 }
 
 FlowControl ClientConnection::onStreamChunk(PipelinedRequest& request, std::string_view bytes) {
@@ -274,17 +296,24 @@
 
 void ClientConnection::respond(PipelinedRequest& request, std::string_view text) {
     pipeline_.respond(request, text);
-    reportUnsent();
+    reportUsage();
 }
 
 void ClientConnection::append(PipelinedRequest& request, std::string_view text) {
     pipeline_.append(request, text);
-    reportUnsent();
+    reportUsage();
+}
+
+void ClientConnection::reportUsage() {
+    const ResponseUsage usage{pipeline_.unsentBytes(), pipeline_.awaitingBehindFront()};
+    owner_.responseBudget().update(reportedUsage_, usage);
+    reportedUsage_ = usage;
 }
 
-void ClientConnection::reportUnsent() {
-    owner_.updateUnsentBytes(reportedUnsentBytes_, pipeline_.unsentBytes());
-    reportedUnsentBytes_ = pipeline_.unsentBytes();
+bool ClientConnection::failLargestResponse() {
+    const bool isReplaced = pipeline_.replaceLargest(protocol::failedResponse());
+    reportUsage();
+    return isReplaced;
 }
 
 void ClientConnection::reply(std::string_view text) { respond(pipeline_.add(*this), text); }
@@ -298,20 +327,34 @@
 
 ClientConnection::Existence ClientConnection::tryFlush() {
     if (!owner_.relieveMemory(*this)) return Existence::destroyed;
-    const RequestPipeline::Output output = pipeline_.takeOutput(write_.request());
-    if (!output.bytes.empty()) {
-        reportUnsent();
+    const Existence existence = writeOutput();
+    if (existence == Existence::destroyed) return existence;
+    owner_.relieveResponses();
+    if (state_ == State::lingering) return Existence::exists;
+    if (connection_.unsentBytes() == 0) pipeline_.resumeFront();
+    if (holdsInput() && !holdsBackInput()) owner_.deferReading(*this);
+    updateReading();
+    updateTimer();
+    return Existence::exists;
+}
+
+// The rest waits in the pipeline while the kernel does not take what was written: there it can be limited,
+// while bytes in the transport's buffers can only be freed by closing the connection.
+ClientConnection::Existence ClientConnection::writeOutput() {
+    while (connection_.unsentBytes() == 0) {
+        const RequestPipeline::Output output = pipeline_.takeOutput(write_.request(), kMaxWriteBytes);
+        if (output.bytes.empty()) break;
+        reportUsage();
         lastResponseAt_ = transport::EventLoop::now();
         if (!connection_.write(output.bytes)) {
             owner_.remove(*this);
             return Existence::destroyed;
         }
+        if (output.closesConnection) {
+            linger();
+            break;
+        }
     }
-    if (output.closesConnection) linger();
-    if (state_ == State::lingering) return Existence::exists;
-    if (connection_.unsentBytes() == 0) pipeline_.resumeFront();
-    updateReading();
-    updateTimer();
     return Existence::exists;
 }
 
@@ -326,11 +369,23 @@
 
 // ---- Reading and time
 
+// Bytes of responses that wait because the client does not read.
+std::size_t ClientConnection::unreadBytes() const {
+    const std::size_t unsent = connection_.unsentBytes();
+    return unsent == 0 ? 0 : unsent + pipeline_.unsentBytes();
+}
+
+bool ClientConnection::lacksResponseCapacity() const {
+    const bool isBetweenRequests = !decoder_.isInValue() && !write_.isActive();
+    return isBetweenRequests && !pipeline_.isEmpty() && !owner_.responseBudget().hasCapacity() &&
+           owner_.mayHoldInput();
+}
+
 void ClientConnection::updateReading() {
     // Nothing is read while a response is being streamed: if it is aborted, the connection is
     // closed, and requests that were read meanwhile would be lost.
     const bool isAllowed = state_ == State::open && pipeline_.size() < kMaxPipelinedRequests &&
-                           connection_.unsentBytes() < kMaxUnsentBytes && !write_.isBlocked() &&
+                           unreadBytes() < kMaxUnsentBytes && !write_.isBlocked() &&
                            !pipeline_.isStreaming() && unparsed_.empty();
     // The time during which the connection was not read does not count against the client.
     if (isAllowed && !isReadingAllowed_ && requestBegunAt_) {
--- a/src/proxy/client_connection.hpp
+++ b/src/proxy/client_connection.hpp
@@ -15,6 +15,7 @@
 #include "proxy/pipelined_request.hpp"
 #include "proxy/request_dispatcher.hpp"
 #include "proxy/request_pipeline.hpp"
+#include "proxy/response_budget.hpp"
 #include "proxy/streamed_write.hpp"
 #include "transport/buffer_pool.hpp"
 #include "transport/connection.hpp"
@@ -23,8 +24,8 @@
 namespace poppyscale::proxy {
 
 // Reads requests, passes them to the dispatcher, and writes the responses. Stops reading while too
-// many requests or response bytes are outstanding, and removes itself when the client exceeds a
-// time limit.
+// many requests or response bytes are outstanding, holds back requests that were read while there is no
+// memory for their responses, and removes itself when the client exceeds a time limit.
 //
 //     open --> closing --> lingering
 //
@@ -56,16 +57,23 @@
         virtual void onActive(ClientConnection& connection) = 0;
         // The client has sent its first valid request.
         virtual void onFirstValidRequest() = 0;
-        // The number of buffered bytes of the connection's responses, or of its incomplete requests,
-        // has changed from `before` to `after`.
-        virtual void updateUnsentBytes(std::size_t before, std::size_t after) = 0;
+        // The budget for the responses of all connections.
+        virtual ResponseBudget& responseBudget() = 0;
+        // Whether requests may wait for that budget; else they are rejected.
+        virtual bool mayHoldInput() const = 0;
+        // Calls `continueReading` when the budget has capacity, or no input may be held any more.
+        virtual void awaitResponseCapacity(ClientConnection& connection) = 0;
+        // The number of buffered bytes of the connection's incomplete or held requests has changed from
+        // `before` to `after`.
         virtual void updatePartialRequestBytes(std::size_t before, std::size_t after) = 0;
         // Calls `continueReading` in the next iteration.
         virtual void deferReading(ClientConnection& connection) = 0;
         // The client has disconnected: removes the connection in the next iteration.
         virtual void onDisconnected(ClientConnection& connection) = 0;
-        // Removes connections while all connections together hold too much memory. Returns false if
-        // `writing` was removed.
+        // Replaces responses by errors while those that wait exceed the budget.
+        virtual void relieveResponses() = 0;
+        // Ends connections while the transport's buffers or the incomplete requests of all connections
+        // take too much memory. Returns false if `writing` was removed.
         virtual bool relieveMemory(const ClientConnection& writing) = 0;
         // Destroys the connection.
         virtual void remove(ClientConnection& connection) = 0;
@@ -94,7 +102,9 @@
     // nothing.
     bool mayClose() const { return isIdle() && !connection_.hasUnreadBytes(); }
     // A response is outstanding, or the kernel has not taken all of it yet.
-    bool hasOutstandingResponses() const { return !pipeline_.isEmpty() || connection_.unsentBytes() > 0; }
+    bool hasOutstandingResponses() const {
+        return !pipeline_.isEmpty() || !unparsed_.empty() || connection_.unsentBytes() > 0;
+    }
     // Whether the connection may be closed in favour of a new client: its client waits for no
     // response, and has sent nothing, an incomplete request, or only invalid ones.
     bool isEvictable() const {
@@ -110,12 +120,23 @@
     bool hasDisconnectedUnread() const;
     Nanos lastActivity() const { return lastActivity_; }
     Nanos lastResponseAt() const { return lastResponseAt_; }
-    // Unsent bytes of responses, including those in the transport's buffers.
-    std::size_t unsentBytes() const { return reportedUnsentBytes_ + connection_.unsentBytes(); }
-    // As last reported to the owner: bytes of responses that wait for an earlier response, and of
-    // incomplete requests.
-    std::size_t queuedResponseBytes() const { return reportedUnsentBytes_; }
+    // Bytes of responses in the transport's buffers, which the kernel has not taken.
+    std::size_t unsentBytes() const { return connection_.unsentBytes(); }
+    // When the client last read a part of its responses or had none to read.
+    Nanos unreadSince() const { return unreadSince_; }
+    // As last reported: what responses that are not written take of the budget, and the bytes of
+    // incomplete or held requests.
+    const ResponseUsage& responseUsage() const { return reportedUsage_; }
     std::size_t partialRequestBytes() const { return reportedPartialBytes_; }
+    // Whether the bytes of requests are held until earlier ones are answered.
+    bool holdsInput() const { return !unparsed_.empty(); }
+
+    // Answers the request with the largest response that is not written as failed instead, to free
+    // memory. Returns false if there is none.
+    bool failLargestResponse();
+    // Discards an incomplete request, to free memory, and closes the connection after an error and the
+    // outstanding responses. May remove the connection.
+    void rejectIncompleteRequest();
 
   private:
     enum class State : std::uint8_t { open, closing, lingering };
@@ -153,7 +174,7 @@
     // Responses.
     void respond(PipelinedRequest& request, std::string_view text);
     void append(PipelinedRequest& request, std::string_view text);
-    void reportUnsent();
+    void reportUsage();
     // Responds to a message that is not passed to the dispatcher.
     void reply(std::string_view text);
     // As `reply`, and closes the connection after that response.
@@ -162,9 +183,15 @@
     [[nodiscard]] Existence tryFlush();
     // As `tryFlush`, for callers that do not use the connection afterwards.
     void flush() { static_cast<void>(tryFlush()); }
+    [[nodiscard]] Existence writeOutput();
     void linger();
 
     // Reading and time.
+    // The rest of the input must not be parsed yet.
+    bool holdsBackInput() const { return write_.holdsBackInput() || lacksResponseCapacity(); }
+    // The next request would be behind another one, and there is no memory for its response.
+    bool lacksResponseCapacity() const;
+    std::size_t unreadBytes() const;
     void updateReading();
     void updateTimer();
     Nanos requestReadDeadline() const;
@@ -181,7 +208,8 @@
     protocol::RespDecoder decoder_;
     RequestPipeline pipeline_;
     StreamedWrite write_;
-    std::string unparsed_;  // input after a streamed write, until that write is finished
+    std::string unparsed_;  // input that is held back
+    Nanos unparsedArrivedAt_ = 0;
     State state_ = State::open;
 
     // Whether the connection may be read, unless its share of the current iteration is used up.
@@ -197,10 +225,9 @@
     // When the wait for the client's first request, or for the rest of an incomplete one, began; 0 if
     // neither is awaited.
     Nanos requestBegunAt_ = 0;
-    // When the client last read a part of its responses or had none to read.
     Nanos unreadSince_ = 0;
     std::uint64_t sentBytesAtLastCheck_ = 0;
-    std::size_t reportedUnsentBytes_ = 0;
+    ResponseUsage reportedUsage_;
     std::size_t reportedPartialBytes_ = 0;
 };
 
--- a/src/proxy/client_listener.cpp
+++ b/src/proxy/client_listener.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace poppyscale::proxy {
 namespace {
@@ -35,6 +36,7 @@
       maxClients_(maxClients),
       maxBufferedBytes_(maxBufferedBytes),
       maxUnreadDuration_(maxUnreadDuration),
+      responses_(maxBufferedBytes),
       listener_(
           std::make_unique<transport::Listener>(loop, [this](const auto& finish) { onAccept(finish); })) {
     listener_->onExhausted([this](std::string_view reason) { reportExhaustion(reason); });
@@ -48,6 +50,15 @@
     listener_.reset();
 }
 
+void ClientListener::rejectHeldRequests() {
+    rejectsRequests_ = true;
+    for (auto it = clients_.begin(); it != clients_.end();) {
+        ClientConnection& client = **it;
+        ++it;
+        if (client.holdsInput()) client.continueReading();
+    }
+}
+
 void ClientListener::drain(const DrainSchedule& schedule) {
     drain_ = schedule;
     clientsAtDrainStart_ = clients_.size();
@@ -56,6 +67,7 @@
 void ClientListener::setLimits(std::size_t maxClients, std::size_t maxBufferedBytes) {
     maxClients_ = maxClients;
     maxBufferedBytes_ = maxBufferedBytes;
+    responses_.setCapacity(maxBufferedBytes);
 }
 
 void ClientListener::runIteration() {
@@ -63,6 +75,7 @@
     removeDisconnected();
     if (drain_) closeDueConnections();
     closeAboveIdleShare();
+    readHeld();
     readDeferred();
 }
 
@@ -90,16 +103,16 @@
 
 bool ClientListener::acceptsRequests(Nanos timeout) const {
     const Nanos now = transport::EventLoop::now();
-    return !drain_ || drain_->acceptsRequests(timeout, now);
+    return !rejectsRequests_ && (!drain_ || drain_->acceptsRequests(timeout, now));
 }
 
-void ClientListener::onActive(ClientConnection& client) {
-    clients_.splice(clients_.end(), clients_, client.position());
+// Half of the memory for incomplete requests is reserved for them.
+bool ClientListener::mayHoldInput() const {
+    return !rejectsRequests_ && partialRequestBytes_ <= maxBufferedBytes_ / 2;
 }
 
-void ClientListener::updateUnsentBytes(std::size_t before, std::size_t after) {
-    unsentBytes_ -= before;
-    unsentBytes_ += after;
+void ClientListener::onActive(ClientConnection& client) {
+    clients_.splice(clients_.end(), clients_, client.position());
 }
 
 void ClientListener::updatePartialRequestBytes(std::size_t before, std::size_t after) {
@@ -108,10 +121,11 @@
 }
 
 void ClientListener::onDestroyed(ClientConnection& client) {
-    updateUnsentBytes(client.queuedResponseBytes(), 0);
+    responses_.update(client.responseUsage(), {});
     updatePartialRequestBytes(client.partialRequestBytes(), 0);
     if (client.hasSentValidRequest()) --clientsWithValidRequest_;
     std::erase(deferred_, &client);
+    std::erase(awaitingCapacity_, &client);
     std::erase(disconnected_, &client);
 }
 
@@ -177,6 +191,19 @@
     }
 }
 
+void ClientListener::awaitResponseCapacity(ClientConnection& client) {
+    const bool isWaiting =
+        std::find(awaitingCapacity_.begin(), awaitingCapacity_.end(), &client) != awaitingCapacity_.end();
+    if (!isWaiting) awaitingCapacity_.push_back(&client);
+}
+
+// A connection that still lacks capacity registers again.
+void ClientListener::readHeld() {
+    if (awaitingCapacity_.empty() || (!responses_.hasCapacity() && mayHoldInput())) return;
+    for (ClientConnection* const client : awaitingCapacity_) deferReading(*client);
+    awaitingCapacity_.clear();
+}
+
 void ClientListener::removeDisconnected() {
     while (!disconnected_.empty()) remove(*disconnected_.back());
     const Nanos now = transport::EventLoop::now();
@@ -206,29 +233,58 @@
     }
 }
 
-bool ClientListener::isOverMemory() const {
-    // A quarter of the buffers is reserved for writing to upstream servers.
-    return buffers_.available() < buffers_.capacity() / 4 || unsentBytes_ > maxBufferedBytes_ ||
-           partialRequestBytes_ > maxBufferedBytes_;
+// Without these limits, the memory could be filled by clients that do not read, that have many
+// responses waiting for an earlier one, or that leave requests incomplete.
+bool ClientListener::relieveMemory(const ClientConnection& writing) {
+    relievePartialRequests(writing);
+    return relieveBuffers(writing);
 }
 
-// If incomplete requests exceed their limit, the least recently active connection that has one;
-// otherwise the connection with the most unsent response bytes.
-ClientListener::Position ClientListener::largestMemoryUser() {
-    if (partialRequestBytes_ > maxBufferedBytes_)
-        return std::find_if(clients_.begin(), clients_.end(),
-                            [](const auto& client) { return client->partialRequestBytes() > 0; });
-    return std::max_element(clients_.begin(), clients_.end(),
-                            [](const auto& a, const auto& b) { return a->unsentBytes() < b->unsentBytes(); });
+// No request loses its response: the largest ones are replaced by errors.
+void ClientListener::relieveResponses() {
+    while (responses_.isExceeded()) {
+        const auto client =
+            std::max_element(clients_.begin(), clients_.end(), [](const auto& a, const auto& b) {
+                return a->responseUsage().waitingBytes < b->responseUsage().waitingBytes;
+            });
+        if (client == clients_.end() || !(*client)->failLargestResponse()) return;
+    }
 }
 
-// Without this limit, the memory could be filled by clients that do not read, that have many
-// responses waiting for an earlier one, or that leave requests incomplete.
-bool ClientListener::relieveMemory(const ClientConnection& writing) {
-    while (isOverMemory()) {
-        const auto client = largestMemoryUser();
-        if (client == clients_.end()) return true;
-        if ((*client)->unsentBytes() + (*client)->partialRequestBytes() == 0) return true;
+// Of the connections with an incomplete request, the least recently active one; if possible, one without
+// further requests behind it.
+ClientListener::Position ClientListener::incompleteRequest(const ClientConnection& writing) {
+    const auto isIncomplete = [&](const auto& client) {
+        return client->partialRequestBytes() > 0 && client.get() != &writing;
+    };
+    const auto client = std::find_if(clients_.begin(), clients_.end(), [&](const auto& candidate) {
+        return isIncomplete(candidate) && !candidate->holdsInput();
+    });
+    return client != clients_.end() ? client : std::find_if(clients_.begin(), clients_.end(), isIncomplete);
+}
+
+void ClientListener::relievePartialRequests(const ClientConnection& writing) {
+    while (partialRequestBytes_ > maxBufferedBytes_) {
+        const auto client = incompleteRequest(writing);
+        if (client == clients_.end()) return;
+        (*client)->rejectIncompleteRequest();
+    }
+}
+
+bool ClientListener::isOverBuffers() const {
+    // A quarter of the buffers is reserved for writing to upstream servers.
+    return buffers_.available() < buffers_.capacity() / 4;
+}
+
+// Closes the connections whose clients have read nothing of their responses for longest.
+bool ClientListener::relieveBuffers(const ClientConnection& writing) {
+    while (isOverBuffers()) {
+        const auto client =
+            std::min_element(clients_.begin(), clients_.end(), [](const auto& a, const auto& b) {
+                return std::pair(a->unsentBytes() == 0, a->unreadSince()) <
+                       std::pair(b->unsentBytes() == 0, b->unreadSince());
+            });
+        if (client == clients_.end() || (*client)->unsentBytes() == 0) return true;
         const bool isWriting = client->get() == &writing;
         clients_.erase(client);
         if (isWriting) return false;
--- a/src/proxy/client_listener.hpp
+++ b/src/proxy/client_listener.hpp
@@ -21,7 +21,7 @@
 
 // Owns the client connections. Keeps their number and memory within limits by closing some of them,
 // and closes all of them while draining. A connection is not closed while a request on it has no
-// response, unless the client breaks the protocol, does not read, or fills the memory.
+// response, unless the client breaks the protocol or does not read.
 class ClientListener : private ClientConnection::Owner {
   public:
     using DrainSchedule = proxy::DrainSchedule;
@@ -43,6 +43,8 @@
     int descriptor() const { return listener_ ? listener_->descriptor() : -1; }
     // Stops listening and leaves the backlog to another process, which accepts from now on.
     void stopListening() { listener_.reset(); }
+    // Accepts no further requests, and rejects those that were read and are held back.
+    void rejectHeldRequests();
     // Accepts the connections in the backlog, then stops listening.
     void close();
     bool isClosed() const { return !listener_ && clients_.empty(); }
@@ -72,7 +74,10 @@
     std::uint64_t iteration() const override { return iteration_; }
     void onActive(ClientConnection& client) override;
     void onFirstValidRequest() override { ++clientsWithValidRequest_; }
-    void updateUnsentBytes(std::size_t before, std::size_t after) override;
+    ResponseBudget& responseBudget() override { return responses_; }
+    bool mayHoldInput() const override;
+    void awaitResponseCapacity(ClientConnection& client) override;
+    void relieveResponses() override;
     void updatePartialRequestBytes(std::size_t before, std::size_t after) override;
     void deferReading(ClientConnection& client) override { deferred_.push_back(&client); }
     void onDisconnected(ClientConnection& client) override { disconnected_.push_back(&client); }
@@ -90,12 +95,15 @@
     Position longestIdle();
     // Closes the connection unless a response on it is outstanding. Returns whether it was closed.
     bool closeIdle(Position client);
-    bool isOverMemory() const;
-    Position largestMemoryUser();
+    bool isOverBuffers() const;
+    bool relieveBuffers(const ClientConnection& writing);
+    Position incompleteRequest(const ClientConnection& writing);
+    void relievePartialRequests(const ClientConnection& writing);
     void closeDueConnections();
     void closeAboveIdleShare();
     void removeDisconnected();
     void readDeferred();
+    void readHeld();
 
     transport::EventLoop& loop_;
     transport::BufferPool& buffers_;
@@ -103,15 +111,18 @@
     std::size_t maxClients_;
     std::size_t maxBufferedBytes_;
     Nanos maxUnreadDuration_;
-    std::size_t unsentBytes_ = 0;          // unsent bytes of responses, over all clients
-    std::size_t partialRequestBytes_ = 0;  // bytes of incomplete requests, over all clients
+    ResponseBudget responses_;
+    std::size_t partialRequestBytes_ = 0;  // bytes of incomplete or held requests, over all clients
     std::size_t clientsWithValidRequest_ = 0;
     std::optional<DrainSchedule> drain_;
     std::size_t clientsAtDrainStart_ = 0;
     bool isStandby_ = false;
+    bool rejectsRequests_ = false;
     std::unique_ptr<transport::Listener> listener_;
-    ClientConnection::List clients_;               // the least recently active first
-    std::vector<ClientConnection*> deferred_;      // read again with the next iteration
+    ClientConnection::List clients_;           // the least recently active first
+    std::vector<ClientConnection*> deferred_;  // read again with the next iteration
+    // Hold requests until there is memory for their responses.
+    std::vector<ClientConnection*> awaitingCapacity_;
     std::vector<ClientConnection*> disconnected_;  // removed with the next iteration
     Nanos nextDisconnectCheckAt_ = 0;
     Nanos exhaustionReportedAt_ = 0;
--- a/src/proxy/pipelined_request.hpp
+++ b/src/proxy/pipelined_request.hpp
@@ -42,6 +42,7 @@
     void setPending(PendingRequest* pending) { pending_ = pending; }
 
     bool isAwaiting() const { return state_ == State::awaiting; }
+    bool isComplete() const { return state_ == State::complete; }
     // Part of a streamed response is still to come.
     bool isStreaming() const { return state_ == State::streaming; }
     // The connection is closed after this response.
@@ -54,6 +55,8 @@
     void respond(std::string_view text);
     void append(std::string_view text) { unsent_.append(text); }
     void clearUnsent() { unsent_.clear(); }
+    // Replaces a complete response of which nothing is written.
+    void replaceResponse(std::string_view text) { unsent_ = text; }
 
     // Counts `size` more bytes of a streamed response. Returns whether they are the last ones.
     bool countStreamed(std::size_t size);
--- a/src/proxy/request_pipeline.cpp
+++ b/src/proxy/request_pipeline.cpp
@@ -6,24 +6,44 @@
 
 void RequestPipeline::remove(const PipelinedRequest& request) {
     unsentBytes_ -= request.unsent().size();
+    if (request.isAwaiting()) --awaiting_;
     const auto it = std::find_if(requests_.begin(), requests_.end(),
                                  [&](const PipelinedRequest& candidate) { return &candidate == &request; });
     requests_.erase(it);
 }
 
 void RequestPipeline::respond(PipelinedRequest& request, std::string_view text) {
+    if (request.isAwaiting()) --awaiting_;
     request.respond(text);
     unsentBytes_ += text.size();
 }
 
+void RequestPipeline::beginStream(PipelinedRequest& request, std::string_view head) {
+    --awaiting_;
+    request.append(head);
+    unsentBytes_ += head.size();
+}
+
+bool RequestPipeline::replaceLargest(std::string_view text) {
+    PipelinedRequest* largest = nullptr;
+    for (PipelinedRequest& request : requests_)
+        if (request.isComplete() && (!largest || request.unsent().size() > largest->unsent().size()))
+            largest = &request;
+    if (!largest || largest->unsent().size() <= text.size()) return false;
+    unsentBytes_ -= largest->unsent().size();
+    largest->replaceResponse(text);
+    unsentBytes_ += text.size();
+    return true;
+}
+
 void RequestPipeline::append(PipelinedRequest& request, std::string_view text) {
     request.append(text);
     unsentBytes_ += text.size();
 }
 
-RequestPipeline::Output RequestPipeline::takeOutput(const PipelinedRequest* heldBack) {
+RequestPipeline::Output RequestPipeline::takeOutput(const PipelinedRequest* heldBack, std::size_t maxBytes) {
     Output output;
-    while (!requests_.empty() && !output.closesConnection) {
+    while (!requests_.empty() && !output.closesConnection && output.bytes.size() < maxBytes) {
         PipelinedRequest& front = requests_.front();
         if (front.isAwaiting() || &front == heldBack) break;
         output.bytes += front.unsent();
--- a/src/proxy/request_pipeline.hpp
+++ b/src/proxy/request_pipeline.hpp
@@ -15,21 +15,29 @@
 // removed.
 class RequestPipeline {
   public:
-    PipelinedRequest& add(PipelinedRequest::Owner& owner) { return requests_.emplace_back(owner); }
+    PipelinedRequest& add(PipelinedRequest::Owner& owner) {
+        ++awaiting_;
+        return requests_.emplace_back(owner);
+    }
     void remove(const PipelinedRequest& request);
 
     // `respond` sets the response to a request, or the header of a streamed one; `append` adds to it.
     void respond(PipelinedRequest& request, std::string_view text);
     void append(PipelinedRequest& request, std::string_view text);
+    // `request` is about to stream its response.
+    void beginStream(PipelinedRequest& request, std::string_view head);
+    // Replaces the largest complete response by `text`, which is shorter. Returns false if no complete
+    // response is longer than `text`.
+    bool replaceLargest(std::string_view text);
 
     struct Output {
         std::string bytes;
         bool closesConnection = false;  // the connection is closed after these bytes
     };
-    // Takes the bytes that may be written now: the responses up to the first incomplete one, of
-    // which the available part is taken if it is being streamed. Stops before the response to
-    // `heldBack`, which may be null.
-    Output takeOutput(const PipelinedRequest* heldBack);
+    // Takes bytes that may be written now: the responses up to the first incomplete one, of which
+    // the available part is taken if it is being streamed. Stops before the response to `heldBack`,
+    // which may be null, and after the response that reaches `maxBytes`.
+    Output takeOutput(const PipelinedRequest* heldBack, std::size_t maxBytes);
     // Resumes the source of the first request's response, if it is paused.
     void resumeFront();
 
@@ -38,6 +46,11 @@
     bool isFront(const PipelinedRequest& request) const { return &request == &requests_.front(); }
     // Bytes of responses that have not been taken, since they wait for an earlier response.
     std::size_t unsentBytes() const { return unsentBytes_; }
+    // Requests whose response is still to come, without the first request of the connection.
+    std::size_t awaitingBehindFront() const {
+        const bool isFrontAwaiting = !requests_.empty() && requests_.front().isAwaiting();
+        return isFrontAwaiting ? awaiting_ - 1 : awaiting_;
+    }
     bool isStreaming() const;
     bool hasPendingRequest() const;
     // For a client that is gone: cancels the sources of streamed responses, and calls `disconnect`
@@ -53,6 +66,7 @@
   private:
     std::list<PipelinedRequest> requests_;
     std::size_t unsentBytes_ = 0;
+    std::size_t awaiting_ = 0;  // requests whose response is still to come
 };
 
 }  // namespace poppyscale::proxy
--- /dev/null
+++ b/src/proxy/response_budget.hpp
@@ -0,0 +1,55 @@
+// The memory of responses that wait on clients' connections.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+
+namespace poppyscale::proxy {
+
+// What one client's connection takes of the budget.
+struct ResponseUsage {
+    std::size_t waitingBytes = 0;     // responses that wait for an earlier response or for the client
+    std::size_t pendingRequests = 0;  // requests behind another one whose response is still to come
+};
+
+// Limits the responses that wait on all clients' connections together. Reserves memory for a request that
+// is behind another one before it is forwarded, since its response has to be kept until the earlier one is
+// sent. Responses differ in size, so the reservation is a recent maximum that decays, and an eighth of the
+// capacity is not reserved; a sudden change can still exceed the capacity, which `isExceeded` reports. The
+// first request of a connection needs no reservation.
+class ResponseBudget {
+  public:
+    // `capacity` is in bytes.
+    explicit ResponseBudget(std::size_t capacity) : capacity_(capacity) {}
+    void setCapacity(std::size_t capacity) { capacity_ = capacity; }
+
+    // The usage of one connection has changed.
+    void update(const ResponseUsage& before, const ResponseUsage& after) {
+        waitingBytes_ = waitingBytes_ - before.waitingBytes + after.waitingBytes;
+        pendingRequests_ = pendingRequests_ - before.pendingRequests + after.pendingRequests;
+    }
+    // A response of `bytes` has arrived.
+    void recordResponse(std::size_t bytes) {
+        const std::size_t decay = expectedBytes_ / kDecayDivisor;
+        expectedBytes_ = std::max({bytes, expectedBytes_ - decay, kMinExpectedBytes});
+    }
+    // Whether one more request that is behind another one may be forwarded.
+    bool hasCapacity() const {
+        const std::size_t reservable = capacity_ - capacity_ / kUnreservedDivisor;
+        return waitingBytes_ + (pendingRequests_ + 1) * expectedBytes_ <= reservable;
+    }
+    bool isExceeded() const { return waitingBytes_ > capacity_; }
+
+  private:
+    static constexpr std::size_t kMaxBufferedResponse = 64 * 1024;  // longer values are streamed
+    static constexpr std::size_t kMinExpectedBytes = 512;           // covers a request's own objects
+    static constexpr std::size_t kDecayDivisor = 64;
+    static constexpr std::size_t kUnreservedDivisor = 8;
+
+    std::size_t capacity_;
+    std::size_t waitingBytes_ = 0;
+    std::size_t pendingRequests_ = 0;
+    std::size_t expectedBytes_ = kMaxBufferedResponse;
+};
+
+}  // namespace poppyscale::proxy
