--- a/src/proxy/client_listener.cpp
+++ b/src/proxy/client_listener.cpp
@@ -52,11 +52,9 @@
 
 void ClientListener::rejectHeldRequests() {
     rejectsRequests_ = true;
-    for (auto it = clients_.begin(); it != clients_.end();) {
-        ClientConnection& client = **it;
-        ++it;
-        if (client.holdsInput()) client.continueReading();
-    }
+    for (auto& client : clients_)
+        if (client->holdsInput()) deferReading(*client);
+    readDeferred();
 }
 
 void ClientListener::drain(const DrainSchedule& schedule) {
--- a/src/proxy/pipelined_request.cpp
+++ b/src/proxy/pipelined_request.cpp
@@ -34,12 +34,18 @@
     reservedBytes_ -= std::min(reservedBytes_, text.size());
 }
 
+void PipelinedRequest::clearUnsent() {
+    unsent_.clear();
+    takenBytes_ = 0;
+}
+
 void PipelinedRequest::replaceResponse(std::string_view text) {
     BodySource* const source = takeSource();
     if (source) source->cancel();
     state_ = State::complete;
     // Assigning would keep the capacity of the longer text.
     unsent_ = std::string(text);
+    takenBytes_ = 0;
     reservedBytes_ = 0;
 }
 
--- a/src/proxy/pipelined_request.hpp
+++ b/src/proxy/pipelined_request.hpp
@@ -69,13 +69,17 @@
     void setClosesConnection() { closesConnection_ = true; }
 
     // The part of the response that is not written yet.
-    const std::string& unsent() const { return unsent_; }
+    std::string_view unsent() const { return std::string_view(unsent_).substr(takenBytes_); }
+    // Some of the response was passed to the connection.
+    bool hasBegun() const { return isDirect() || takenBytes_ > 0; }
+    // `bytes` more of `unsent` were passed to the connection.
+    void onTaken(std::size_t bytes) { takenBytes_ += bytes; }
     // Sets the whole response or, if it is streamed, the header before its chunks.
     void respond(std::string_view text);
     void append(std::string_view text);
-    // What the response takes of the memory: its unsent part, and what is reserved for the rest.
+    // What the response takes of the memory, with what is reserved for its rest.
     std::size_t chargedBytes() const { return unsent_.size() + reservedBytes_; }
-    void clearUnsent() { unsent_.clear(); }
+    void clearUnsent();
     // Replaces a response of which nothing is written, and cancels its source if it has one.
     void replaceResponse(std::string_view text);
 
@@ -108,6 +112,7 @@
     Nanos memoryWaitEnd_ = 0;
     PendingRequest* pending_ = nullptr;
     std::string unsent_;
+    std::size_t takenBytes_ = 0;  // of `unsent_`
     bool closesConnection_ = false;
     BodySource* source_ = nullptr;
     std::size_t streamedBytesLeft_ = 0;
--- a/src/proxy/request_pipeline.cpp
+++ b/src/proxy/request_pipeline.cpp
@@ -39,7 +39,7 @@
     PipelinedRequest* largest = nullptr;
     for (PipelinedRequest& request : requests_) {
         const bool isReplaceable =
-            !request.isDirect() && !request.isCollected() && (request.isComplete() || request.hasSource());
+            !request.hasBegun() && !request.isCollected() && (request.isComplete() || request.hasSource());
         if (isReplaceable && (!largest || request.chargedBytes() > largest->chargedBytes()))
             largest = &request;
     }
@@ -59,13 +59,16 @@
         PipelinedRequest& front = requests_.front();
         const bool isCollecting = front.isStreaming() && !front.isDirect();
         if (front.isAwaiting() || isCollecting || &front == heldBack) break;
-        countOf(front) -= front.chargedBytes();
-        output.bytes += front.unsent();
+        const std::string_view part = front.unsent().substr(0, maxBytes - output.bytes.size());
+        output.bytes += part;
+        front.onTaken(part.size());
+        if (!front.unsent().empty()) break;
         if (front.isStreaming()) {
-            front.clearUnsent();
+            update(front, [&] { front.clearUnsent(); });
             break;
         }
         output.closesConnection = front.closesConnection();
+        countOf(front) -= front.chargedBytes();
         requests_.pop_front();
     }
     return output;
--- a/src/proxy/request_pipeline.hpp
+++ b/src/proxy/request_pipeline.hpp
@@ -38,9 +38,9 @@
         std::string bytes;
         bool closesConnection = false;  // the connection is closed after these bytes
     };
-    // Takes bytes that may be written now: the responses up to the first incomplete one, of which
-    // the available part is taken if it is delivered directly. Stops before the response to `heldBack`,
-    // which may be null, and after the response that reaches `maxBytes`.
+    // Takes up to `maxBytes` that may be written now: the responses up to the first incomplete one, of
+    // which the available part is taken if it is delivered directly. Stops before the response to
+    // `heldBack`, which may be null.
     Output takeOutput(const PipelinedRequest* heldBack, std::size_t maxBytes);
     // Resumes the source of the first request's response, if it is paused.
     void resumeFront();
--- a/tests/pipelining_test.cpp
+++ b/tests/pipelining_test.cpp
@@ -250,8 +250,12 @@
     CHECK(pipeline.waitingBytes() == 1'006);
     CHECK(pipeline.takeOutput(nullptr, 10).bytes.empty());
     pipeline.respond(first, "ok\r\n");
-    CHECK(pipeline.takeOutput(nullptr, 10).bytes == "ok\r\n" + std::string(1'000, 'x'));
-    CHECK(pipeline.takeOutput(nullptr, 10).bytes == "-ERR\r\n");
+    CHECK(pipeline.takeOutput(nullptr, 10).bytes == "ok\r\nxxxxxx");
+    CHECK(!pipeline.replaceLargest("-ERR\r\n"));
+    CHECK(pipeline.takeOutput(nullptr, 990).bytes == std::string(990, 'x'));
+    CHECK(pipeline.waitingBytes() == 1'006);
+    CHECK(pipeline.takeOutput(nullptr, 10).bytes == "xxxx-ERR\r\n");
+    CHECK(pipeline.waitingBytes() == 0);
     CHECK(!pipeline.replaceLargest("-ERR\r\n"));
     CHECK(pipeline.isEmpty());
 }
