Testbed: rename, unlink and mkdir by the *at calls, which both kinds of machine have

Seen: on arm64 the build stops in the two preload.cpp of the testbed, since SYS_rename, SYS_unlink and SYS_mkdir do not exist there.

Changed: the four calls go through SYS_renameat, SYS_unlinkat and SYS_mkdirat with AT_FDCWD; they mean the same on x86-64 and arm64. Nothing else changed.

Not run on x86-64 here.

--- a/src/testbed/fault_injection/preload.cpp
+++ b/src/testbed/fault_injection/preload.cpp
@@ -301,7 +301,7 @@
 
 int rename(const char* from, const char* to) noexcept {
     if (injectError(drawEffect(SystemCall::rename))) return -1;
-    return static_cast<int>(::syscall(SYS_rename, from, to));
+    return static_cast<int>(::syscall(SYS_renameat, AT_FDCWD, from, AT_FDCWD, to));
 }
 
 ssize_t getrandom(void* to, size_t size, unsigned flags) {
--- a/src/testbed/host_emulation/preload.cpp
+++ b/src/testbed/host_emulation/preload.cpp
@@ -224,19 +224,19 @@
 
 int rename(const char* from, const char* to) noexcept {
     if (failsReadOnly(AT_FDCWD, from) || failsReadOnly(AT_FDCWD, to)) return -1;
-    return static_cast<int>(::syscall(SYS_rename, from, to));
+    return static_cast<int>(::syscall(SYS_renameat, AT_FDCWD, from, AT_FDCWD, to));
 }
 
 int unlink(const char* path) noexcept {
     if (failsReadOnly(AT_FDCWD, path)) return -1;
-    return static_cast<int>(::syscall(SYS_unlink, path));
+    return static_cast<int>(::syscall(SYS_unlinkat, AT_FDCWD, path, 0));
 }
 
 int mkdir(const char* path, mode_t mode) noexcept {
     // For a path that exists the system call reports EEXIST, as on a real read-only disk.
     struct stat at {};
     if (::stat(path, &at) != 0 && failsReadOnly(AT_FDCWD, path)) return -1;
-    return static_cast<int>(::syscall(SYS_mkdir, path, mode));
+    return static_cast<int>(::syscall(SYS_mkdirat, AT_FDCWD, path, mode));
 }
 
 }  // extern "C"
