Hold back responses for clients that read slowly, close none that reads

Cause: responses were handed to shared transport buffers in parts of up to 64 KiB, and past three quarters of them the client that had read nothing for longest was closed, even if it had read a moment ago. Time limits and descriptors were ruled out.

Change: a client's connection writes only what the kernel takes; the rest is counted in the response budget, which holds back requests behind others and the rest of responses at their servers. Only a client that has read nothing for 2.5 s is closed while memory is short.

--- a/src/process/data_path.cpp
+++ b/src/process/data_path.cpp
@@ -42,7 +42,7 @@
       config_(config),
       dispatcher_(createDispatcher(loop, pool, config.startup(), makeDispatcher, logger)),
       clientListener_(loop, pool, *dispatcher_, maxClients(config.startup()),
-                      maxClientBytes(config.startup().memoryLimitBytes),
+                      maxPartialRequestBytes(config.startup().memoryLimitBytes),
                       2 * config.startup().serverIdleTimeout) {
     clientListener_.onExhausted = [&logger](std::string_view why) {
         logger.logLifecycle(LogLevel::warning, fmt::format("new connections wait in the backlog: {}", why));
@@ -90,7 +90,7 @@
     pool_.setCapacity(maxBuffers(memoryBytes));
     dispatcher_->setLimits(memoryBytes, isShared ? maxConnections / 2 : maxConnections);
     clientListener_.setLimits(std::max(maxAllClients - std::min(maxAllClients, peerClients), kMinClients),
-                              maxClientBytes(memoryBytes));
+                              maxPartialRequestBytes(memoryBytes));
 }
 
 }  // namespace poppyscale::process
--- a/src/process/resource_limits.cpp
+++ b/src/process/resource_limits.cpp
@@ -10,8 +10,7 @@
 // For the standard streams, event loop, signals, client listener, discovery and the operator's
 // socket.
 constexpr std::size_t kReservedDescriptors = 32;
-// Memory of one client, without its partial requests and unsent responses, which have their own limit
-// (`maxClientBytes`).
+// Memory of one client, without its partial requests and unsent responses, which have their own limits.
 constexpr std::size_t kBytesPerClient = 8 * 1024;
 // A list may be as long as this part of the memory limit. While it is read, memory also holds the
 // shorter buffer that it has outgrown, half of its length, and the entries parsed from it.
@@ -35,9 +34,9 @@
                                  1);
 }
 
-std::size_t maxBuffers(std::size_t memoryBytes) { return memoryBytes / 8 / transport::kBufferSize; }
+std::size_t maxBuffers(std::size_t memoryBytes) { return memoryBytes / 16 / transport::kBufferSize; }
 
-std::size_t maxClientBytes(std::size_t memoryBytes) { return memoryBytes / 16; }
+std::size_t maxPartialRequestBytes(std::size_t memoryBytes) { return memoryBytes / 16; }
 
 std::size_t maxEndpointListBytes(const protocol::StartupConfig& startup) {
     return startup.memoryLimitBytes / kListMemoryDivisor;
--- a/src/process/resource_limits.hpp
+++ b/src/process/resource_limits.hpp
@@ -16,8 +16,8 @@
 std::size_t maxClients(const protocol::StartupConfig& startup);
 // Connection buffers that a process with `memoryBytes` of memory may use.
 std::size_t maxBuffers(std::size_t memoryBytes);
-// Bytes of partial requests of all clients, and separately of their unsent responses.
-std::size_t maxClientBytes(std::size_t memoryBytes);
+// Bytes of partial requests of all clients.
+std::size_t maxPartialRequestBytes(std::size_t memoryBytes);
 // Bytes of one endpoint list.
 std::size_t maxEndpointListBytes(const protocol::StartupConfig& startup);
 // Bytes of the open requests in one answer on the operator's socket.
--- a/src/protocol/http_response.cpp
+++ b/src/protocol/http_response.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::size_t kMaxHeaderBytes = 16 * 1024;
 constexpr int kMaxInterimResponses = 8;
+constexpr std::uint64_t kUnknownLength =
+    ~std::uint64_t{0};                                 // http_parser's, where there is no Content-Length
 constexpr std::int64_t kMaxListAgeMs = 1'000'000'000;  // keeps the age in nanoseconds from overflowing
 
 constexpr const char* kRejectedHeader = "X-Rejected";
@@ -58,7 +60,7 @@
 // is buffered.
 int HttpResponse::onHeadersComplete() {
     finishHeader();
-    const bool hasLength = parser_.content_length != ~std::uint64_t{0};
+    const bool hasLength = parser_.content_length != kUnknownLength;
     if (!hasLength || parser_.content_length <= maxBufferedBody_) return 0;
     if (parser_.content_length > maxBody_ || parser_.status_code != 200) return -1;
     streamedLength_ = parser_.content_length;
@@ -76,6 +78,13 @@
     return body_.size() > maxBufferedBody_ ? 1 : 0;
 }
 
+// The parser counts `content_length` down to what is left of the body, or of a chunk.
+std::size_t HttpResponse::expectedBytes() const {
+    const bool isInBufferedBody = !body_.empty() && !streamedLength_;
+    const bool hasLength = parser_.content_length != kUnknownLength;
+    return bufferedBytes() + (isInBufferedBody && hasLength ? parser_.content_length : 0);
+}
+
 int HttpResponse::onMessageComplete() {
     // The final response follows an interim one (1xx). After 101 another protocol would follow,
     // which is an error.
--- a/src/protocol/http_response.hpp
+++ b/src/protocol/http_response.hpp
@@ -47,6 +47,8 @@
     // The buffered body, which the caller may move out.
     std::string& body() { return body_; }
     std::size_t bufferedBytes() const { return headerBytes_ + body_.size(); }
+    // These and the rest of the body that is being buffered, if its length is known.
+    std::size_t expectedBytes() const;
 
   private:
     static HttpResponse& of(http_parser* parser) { return *static_cast<HttpResponse*>(parser->data); }
--- a/src/protocol/resp.hpp
+++ b/src/protocol/resp.hpp
@@ -66,6 +66,8 @@
     }
     // The number of buffered bytes of an incomplete value.
     std::size_t bufferedBytes() const { return bufferedBytes_; }
+    // These and the rest of the bulk string that is being buffered.
+    std::size_t expectedBytes() const { return bufferedBytes_ + bulkBytesLeft_.value_or(0); }
 
   private:
     struct OpenArray {
--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -240,7 +240,7 @@
 
 // Bytes of responses that wait because the client does not read.
 std::size_t ClientConnection::unreadBytes() const {
-    const std::size_t unsent = connection_.unsentBytes();
+    const std::size_t unsent = unsentBytes();
     return unsent == 0 ? 0 : unsent + pipeline_.waitingBytes() + pipeline_.collectedBytes();
 }
 
@@ -275,10 +275,8 @@
 // Sets the timer to the time by which the client must complete a request that it has begun, send
 // its first request, or read some of its responses.
 void ClientConnection::updateTimer() {
-    const bool hasUnsent = connection_.unsentBytes() > 0;
-    if (!hasUnsent || connection_.sentBytes() != sentBytesAtLastCheck_)
-        unreadSince_ = transport::EventLoop::now();
-    sentBytesAtLastCheck_ = connection_.sentBytes();
+    const bool hasUnsent = unsentBytes() > 0;
+    updateUnreadSince();
     if (requestBegunAt_ && isReadingAllowed_) return timer_.start(requestReadDeadline());
     if (!hasUnsent) return timer_.stop();
     Nanos maxUnreadDuration = owner_.maxUnreadDuration();
@@ -286,6 +284,20 @@
     timer_.start(unreadSince_ + maxUnreadDuration);
 }
 
+// What the client has read is what its system has acknowledged: the kernel takes more only when a good part
+// of its buffer is free, and a client that reads slowly may take seconds for that part.
+void ClientConnection::updateUnreadSince() {
+    const std::uint64_t acknowledgedBytes = connection_.acknowledgedBytes();
+    const bool hasProgressed = acknowledgedBytes != acknowledgedBytesAtLastCheck_;
+    if (unsentBytes() == 0 || hasProgressed) unreadSince_ = transport::EventLoop::now();
+    acknowledgedBytesAtLastCheck_ = acknowledgedBytes;
+}
+
+bool ClientConnection::hasStalled(Nanos duration) {
+    updateUnreadSince();
+    return unreadSince_ + duration <= transport::EventLoop::now();
+}
+
 Nanos ClientConnection::requestReadDeadline() const {
     const Nanos deadline = requestBegunAt_ + kRequestReadTimeout;
     if (!decoder_.isInStreamedItem()) return deadline;
@@ -299,8 +311,9 @@
     if (!requestBegunAt_ || !isReadingAllowed_) {
         // A client that reads slowly is not removed as long as it has read something since the last
         // check.
-        const bool hasProgressed =
-            connection_.unsentBytes() > 0 && connection_.sentBytes() != sentBytesAtLastCheck_;
+        const Nanos unreadSince = unreadSince_;
+        updateUnreadSince();
+        const bool hasProgressed = unsentBytes() > 0 && unreadSince_ != unreadSince;
         if (hasProgressed) return updateTimer();
         return owner_.remove(*this);
     }
--- a/src/proxy/client_connection.hpp
+++ b/src/proxy/client_connection.hpp
@@ -72,9 +72,9 @@
         virtual void onDisconnected(ClientConnection& connection) = 0;
         // Replaces responses by errors while those that wait exceed the budget.
         virtual void relieveResponses() = 0;
-        // Ends connections while the transport's buffers or the incomplete requests of all connections
-        // take too much memory. Returns false if `writing` was removed.
-        virtual bool relieveMemory(const ClientConnection& writing) = 0;
+        // Ends other connections than `writing` while the incomplete requests of all connections take too
+        // much memory.
+        virtual void relievePartialRequests(const ClientConnection& writing) = 0;
         // Destroys the connection.
         virtual void remove(ClientConnection& connection) = 0;
         // Called by the connection's destructor.
@@ -105,7 +105,7 @@
     bool mayClose() const { return isIdle() && !connection_.hasUnreadBytes(); }
     // A response is outstanding, or the kernel has not taken all of it yet.
     bool hasOutstandingResponses() const {
-        return !pipeline_.isEmpty() || !unparsed_.empty() || connection_.unsentBytes() > 0;
+        return !pipeline_.isEmpty() || !unparsed_.empty() || unsentBytes() > 0;
     }
     // Whether the connection may be closed in favour of a new client: its client waits for no
     // response, and has sent nothing, an incomplete request, or only invalid ones.
@@ -115,17 +115,17 @@
     }
     bool isEnding() const { return state_ != State::open; }
     // The connection is kept open only to let the client read the last response.
-    bool isLingering() const { return state_ == State::lingering && connection_.unsentBytes() == 0; }
+    bool isLingering() const { return state_ == State::lingering && unsentBytes() == 0; }
     bool hasSentValidRequest() const { return hasSentValidRequest_; }
     // The client has closed the connection while a request is pending and reading is paused, so
     // that the transport does not report the close.
     bool hasDisconnectedUnread() const;
     Nanos lastActivity() const { return lastActivity_; }
     Nanos lastResponseAt() const { return lastResponseAt_; }
-    // Bytes of responses in the transport's buffers, which the kernel has not taken.
-    std::size_t unsentBytes() const { return connection_.unsentBytes(); }
-    // When the client last read a part of its responses or had none to read.
-    Nanos unreadSince() const { return unreadSince_; }
+    // Bytes of responses whose turn it is, which the kernel has not taken.
+    std::size_t unsentBytes() const { return connection_.unsentBytes() + output_.size(); }
+    // Whether the client has left responses unread for `duration`.
+    bool hasStalled(Nanos duration);
     // As last reported: what responses that are not written take of the budget, and the bytes of
     // incomplete or held requests.
     const ResponseUsage& responseUsage() const { return reportedUsage_; }
@@ -199,6 +199,9 @@
     // As `tryFlush`, for callers that do not use the connection afterwards.
     void flush() { static_cast<void>(tryFlush()); }
     [[nodiscard]] Existence writeOutput();
+    void takeOutput();
+    // Passes `bytes` to the kernel, and keeps what it does not take in `output_`, which must be empty.
+    [[nodiscard]] Existence write(std::string_view bytes);
     void linger();
 
     // Reading and time.
@@ -207,6 +210,7 @@
     // The next request would be behind another one, and there is no memory for its response.
     bool lacksResponseCapacity() const;
     std::size_t unreadBytes() const;
+    void updateUnreadSince();
     void updateReading();
     void updateTimer();
     Nanos requestReadDeadline() const;
@@ -228,6 +232,9 @@
     Nanos unparsedArrivedAt_ = 0;
     bool isAwaitingMemory_ = false;
     State state_ = State::open;
+    // Taken from the pipeline, but not by the kernel yet: of one part of the output, the rest.
+    std::string output_;
+    bool closesAfterOutput_ = false;
 
     // Whether the connection may be read, unless its share of the current iteration is used up.
     bool isReadingAllowed_ = false;
@@ -242,8 +249,9 @@
     // When the wait for the client's first request, or for the rest of an incomplete one, began; 0 if
     // neither is awaited.
     Nanos requestBegunAt_ = 0;
+    // When the client last read a part of its responses or had none to read.
     Nanos unreadSince_ = 0;
-    std::uint64_t sentBytesAtLastCheck_ = 0;
+    std::uint64_t acknowledgedBytesAtLastCheck_ = 0;
     ResponseUsage reportedUsage_;
     std::size_t reportedPartialBytes_ = 0;
 };
--- a/src/proxy/client_connection_responses.cpp
+++ b/src/proxy/client_connection_responses.cpp
@@ -71,19 +71,19 @@
         const Existence existence = tryFlush();
         if (existence == Existence::destroyed) return FlowControl::closed;
     }
-    const bool isWritable = request.isDirect() && request.unsent().empty() && connection_.unsentBytes() == 0;
+    const bool isWritable = request.isDirect() && request.unsent().empty() && unsentBytes() == 0;
     if (!isWritable) {
         append(request, bytes);
-    } else if (!connection_.write(bytes)) {
-        owner_.remove(*this);
-        return FlowControl::closed;
+    } else {
+        const Existence existence = write(bytes);
+        if (existence == Existence::destroyed) return FlowControl::closed;
     }
     const bool isLast = request.countStreamed(bytes.size());
     if (isLast) append(request, protocol::kBulkTerminator);
     const Existence existence = tryFlush();
     if (existence == Existence::destroyed) return FlowControl::closed;
     if (isLast) return FlowControl::ready;
-    const bool isFull = !request.isCollected() && (!request.isDirect() || connection_.unsentBytes() > 0);
+    const bool isFull = !request.isCollected() && (!request.isDirect() || unsentBytes() > 0);
     request.restoreSource(source, isFull);
     // It has become the first one while its source was detached.
     if (request.isUndecided() && pipeline_.isFront(request)) owner_.deferReading(*this);
@@ -152,7 +152,9 @@
 }
 
 void ClientConnection::reportUsage() {
-    const ResponseUsage usage{.waitingBytes = pipeline_.waitingBytes(),
+    const std::size_t waitingBytes = pipeline_.waitingBytes() + output_.size();
+    const ResponseUsage usage{.waitingBytes = waitingBytes,
+                              .unreadBytes = unsentBytes() > 0 ? waitingBytes : 0,
                               .collectedBytes = pipeline_.collectedBytes(),
                               .pendingRequests = pipeline_.awaitingBehindFront()};
     owner_.responseBudget().update(reportedUsage_, usage);
@@ -177,39 +179,58 @@
 }
 
 ClientConnection::Existence ClientConnection::tryFlush() {
-    if (!owner_.relieveMemory(*this)) return Existence::destroyed;
+    owner_.relievePartialRequests(*this);
     const Existence existence = writeOutput();
     if (existence == Existence::destroyed) return existence;
+    reportUsage();
     owner_.relieveResponses();
     if (state_ == State::lingering) return Existence::exists;
-    if (connection_.unsentBytes() == 0) pipeline_.resumeFront();
+    if (unsentBytes() == 0) pipeline_.resumeFront();
     if (holdsInput() && !holdsBackInput()) owner_.deferReading(*this);
     updateReading();
     updateTimer();
     return Existence::exists;
 }
 
-// The rest waits in the pipeline while the kernel does not take what was written: there it can be limited,
-// while bytes in the transport's buffers can only be freed by closing the connection.
+// The rest waits here and in the pipeline while the kernel does not take what was written: so it is counted
+// as waiting, and requests and responses are held back for it.
 ClientConnection::Existence ClientConnection::writeOutput() {
     while (connection_.unsentBytes() == 0) {
-        decideFrontDelivery();
-        const RequestPipeline::Output output = pipeline_.takeOutput(write_.request(), kMaxWriteBytes);
-        if (output.bytes.empty()) break;
-        reportUsage();
-        lastResponseAt_ = transport::EventLoop::now();
-        if (!connection_.write(output.bytes)) {
-            owner_.remove(*this);
-            return Existence::destroyed;
-        }
-        if (output.closesConnection) {
-            linger();
-            break;
-        }
+        if (output_.empty()) takeOutput();
+        if (output_.empty()) break;
+        const std::string output = std::exchange(output_, {});
+        const Existence existence = write(output);
+        if (existence == Existence::destroyed) return existence;
+        if (!output_.empty()) break;
+        if (!closesAfterOutput_) continue;
+        closesAfterOutput_ = false;
+        linger();
+        break;
     }
     return Existence::exists;
 }
 
+void ClientConnection::takeOutput() {
+    if (closesAfterOutput_) return;
+    decideFrontDelivery();
+    RequestPipeline::Output output = pipeline_.takeOutput(write_.request(), kMaxWriteBytes);
+    if (output.bytes.empty()) return;
+    output_ = std::move(output.bytes);
+    closesAfterOutput_ = output.closesConnection;
+    lastResponseAt_ = transport::EventLoop::now();
+}
+
+ClientConnection::Existence ClientConnection::write(std::string_view bytes) {
+    const auto written = connection_.writeSome(bytes);
+    if (!written) {
+        owner_.remove(*this);
+        return Existence::destroyed;
+    }
+    output_ = bytes.substr(*written);
+    reportUsage();
+    return Existence::exists;
+}
+
 // If the connection were closed at once, unread bytes in the kernel would cause a reset, and the
 // client could lose the last response.
 void ClientConnection::linger() {
--- a/src/proxy/client_listener.cpp
+++ b/src/proxy/client_listener.cpp
@@ -24,19 +24,21 @@
 // depend on this check: `ClientConnection::isClientConnected` is called before each one, so that none
 // starts after a close.
 constexpr Nanos kDisconnectCheckInterval = 50 * kMillisecond;
+// How long a client may read nothing of its responses while memory for responses is short.
+constexpr Nanos kMaxStallDuration = 2'500 * kMillisecond;
+constexpr Nanos kStallCheckInterval = 100 * kMillisecond;
 
 }  // namespace
 
 ClientListener::ClientListener(transport::EventLoop& loop, transport::BufferPool& buffers,
                                RequestDispatcher& dispatcher, std::size_t maxClients,
-                               std::size_t maxBufferedBytes, Nanos maxUnreadDuration)
+                               std::size_t maxPartialRequestBytes, Nanos maxUnreadDuration)
     : loop_(loop),
       buffers_(buffers),
       dispatcher_(dispatcher),
       maxClients_(maxClients),
-      maxBufferedBytes_(maxBufferedBytes),
+      maxPartialRequestBytes_(maxPartialRequestBytes),
       maxUnreadDuration_(maxUnreadDuration),
-      responses_(maxBufferedBytes),
       listener_(
           std::make_unique<transport::Listener>(loop, [this](const auto& finish) { onAccept(finish); })) {
     listener_->onExhausted([this](std::string_view reason) { reportExhaustion(reason); });
@@ -62,10 +64,9 @@
     clientsAtDrainStart_ = clients_.size();
 }
 
-void ClientListener::setLimits(std::size_t maxClients, std::size_t maxBufferedBytes) {
+void ClientListener::setLimits(std::size_t maxClients, std::size_t maxPartialRequestBytes) {
     maxClients_ = maxClients;
-    maxBufferedBytes_ = maxBufferedBytes;
-    responses_.setCapacity(maxBufferedBytes);
+    maxPartialRequestBytes_ = maxPartialRequestBytes;
 }
 
 void ClientListener::runIteration() {
@@ -73,6 +74,7 @@
     removeDisconnected();
     if (drain_) closeDueConnections();
     closeAboveIdleShare();
+    closeStalled();
     wakeMemoryWaiters();
     readDeferred();
 }
@@ -106,7 +108,7 @@
 
 // Half of the memory for incomplete requests is reserved for them.
 bool ClientListener::mayHoldInput() const {
-    return !rejectsRequests_ && partialRequestBytes_ <= maxBufferedBytes_ / 2;
+    return !rejectsRequests_ && partialRequestBytes_ <= maxPartialRequestBytes_ / 2;
 }
 
 void ClientListener::onActive(ClientConnection& client) {
@@ -119,7 +121,7 @@
 }
 
 void ClientListener::onDestroyed(ClientConnection& client) {
-    responses_.update(client.responseUsage(), {});
+    responseBudget().update(client.responseUsage(), {});
     updatePartialRequestBytes(client.partialRequestBytes(), 0);
     if (client.hasSentValidRequest()) --clientsWithValidRequest_;
     std::erase(deferred_, &client);
@@ -191,7 +193,7 @@
 
 // A connection that still lacks memory registers again.
 void ClientListener::wakeMemoryWaiters() {
-    const bool isReleased = responses_.takeReleased();
+    const bool isReleased = responseBudget().takeReleased();
     if (!isReleased && mayHoldInput()) return;
     const std::vector<ClientConnection*> waiting = std::exchange(awaitingMemory_, {});
     for (ClientConnection* const client : waiting) client->onMemoryReleased();
@@ -226,16 +228,9 @@
     }
 }
 
-// Without these limits, the memory could be filled by clients that do not read, that have many
-// responses waiting for an earlier one, or that leave requests incomplete.
-bool ClientListener::relieveMemory(const ClientConnection& writing) {
-    relievePartialRequests(writing);
-    return relieveBuffers(writing);
-}
-
 // No request loses its response: the largest ones are replaced by errors.
 void ClientListener::relieveResponses() {
-    while (responses_.isExceeded()) {
+    while (responseBudget().isExceeded()) {
         const auto client =
             std::max_element(clients_.begin(), clients_.end(), [](const auto& a, const auto& b) {
                 return a->responseUsage().waitingBytes < b->responseUsage().waitingBytes;
@@ -256,33 +251,23 @@
     return client != clients_.end() ? client : std::find_if(clients_.begin(), clients_.end(), isIncomplete);
 }
 
+// Without this limit, the memory could be filled by clients that leave requests incomplete.
 void ClientListener::relievePartialRequests(const ClientConnection& writing) {
-    while (partialRequestBytes_ > maxBufferedBytes_) {
+    while (partialRequestBytes_ > maxPartialRequestBytes_) {
         const auto client = incompleteRequest(writing);
         if (client == clients_.end()) return;
         (*client)->rejectIncompleteRequest();
     }
 }
 
-bool ClientListener::isOverBuffers() const {
-    // A quarter of the buffers is reserved for writing to upstream servers.
-    return buffers_.available() < buffers_.capacity() / 4;
-}
-
-// Closes the connections whose clients have read nothing of their responses for longest.
-bool ClientListener::relieveBuffers(const ClientConnection& writing) {
-    while (isOverBuffers()) {
-        const auto client =
-            std::min_element(clients_.begin(), clients_.end(), [](const auto& a, const auto& b) {
-                return std::pair(a->unsentBytes() == 0, a->unreadSince()) <
-                       std::pair(b->unsentBytes() == 0, b->unreadSince());
-            });
-        if (client == clients_.end() || (*client)->unsentBytes() == 0) return true;
-        const bool isWriting = client->get() == &writing;
-        clients_.erase(client);
-        if (isWriting) return false;
-    }
-    return true;
+// While memory for responses is short, ends clients that read nothing of theirs. Clients that read slowly are
+// waited for.
+void ClientListener::closeStalled() {
+    if (!responseBudget().isNearlyExceeded()) return;
+    const Nanos now = transport::EventLoop::now();
+    if (now < nextStallCheckAt_) return;
+    nextStallCheckAt_ = now + kStallCheckInterval;
+    std::erase_if(clients_, [](const auto& client) { return client->hasStalled(kMaxStallDuration); });
 }
 
 }  // namespace poppyscale::proxy
--- a/src/proxy/client_listener.hpp
+++ b/src/proxy/client_listener.hpp
@@ -27,11 +27,10 @@
   public:
     using DrainSchedule = proxy::DrainSchedule;
 
-    // `maxBufferedBytes` limits the responses that wait to be written and, separately, the
-    // incomplete requests, each over all clients. `maxUnreadDuration` is how long a client may
-    // leave responses unread.
+    // `maxPartialRequestBytes` limits the incomplete requests of all clients. `maxUnreadDuration` is how
+    // long a client may leave responses unread.
     ClientListener(transport::EventLoop& loop, transport::BufferPool& buffers, RequestDispatcher& dispatcher,
-                   std::size_t maxClients, std::size_t maxBufferedBytes, Nanos maxUnreadDuration);
+                   std::size_t maxClients, std::size_t maxPartialRequestBytes, Nanos maxUnreadDuration);
     ~ClientListener() override;
     ClientListener(const ClientListener&) = delete;
     ClientListener& operator=(const ClientListener&) = delete;
@@ -55,7 +54,7 @@
     void cancelDrain() { drain_.reset(); }
     // While on standby, health checks of clients fail.
     void setStandby(bool standby) { isStandby_ = standby; }
-    void setLimits(std::size_t maxClients, std::size_t maxBufferedBytes);
+    void setLimits(std::size_t maxClients, std::size_t maxPartialRequestBytes);
     void setMaxUnreadDuration(Nanos duration) { maxUnreadDuration_ = duration; }
 
     std::size_t count() const { return clients_.size(); }
@@ -75,14 +74,14 @@
     std::uint64_t iteration() const override { return iteration_; }
     void onActive(ClientConnection& client) override;
     void onFirstValidRequest() override { ++clientsWithValidRequest_; }
-    ResponseBudget& responseBudget() override { return responses_; }
+    ResponseBudget& responseBudget() override { return dispatcher_.responseBudget(); }
     bool mayHoldInput() const override;
     void awaitMemory(ClientConnection& client) override { awaitingMemory_.push_back(&client); }
     void relieveResponses() override;
     void updatePartialRequestBytes(std::size_t before, std::size_t after) override;
     void deferReading(ClientConnection& client) override { deferred_.push_back(&client); }
     void onDisconnected(ClientConnection& client) override { disconnected_.push_back(&client); }
-    bool relieveMemory(const ClientConnection& writing) override;
+    void relievePartialRequests(const ClientConnection& writing) override;
     void remove(ClientConnection& client) override { clients_.erase(client.position()); }
     void onDestroyed(ClientConnection& client) override;
 
@@ -96,10 +95,8 @@
     Position longestIdle();
     // Closes the connection unless a response on it is outstanding. Returns whether it was closed.
     bool closeIdle(Position client);
-    bool isOverBuffers() const;
-    bool relieveBuffers(const ClientConnection& writing);
+    void closeStalled();
     Position incompleteRequest(const ClientConnection& writing);
-    void relievePartialRequests(const ClientConnection& writing);
     void closeDueConnections();
     void closeAboveIdleShare();
     void removeDisconnected();
@@ -110,9 +107,8 @@
     transport::BufferPool& buffers_;
     RequestDispatcher& dispatcher_;
     std::size_t maxClients_;
-    std::size_t maxBufferedBytes_;
+    std::size_t maxPartialRequestBytes_;
     Nanos maxUnreadDuration_;
-    ResponseBudget responses_;
     std::size_t partialRequestBytes_ = 0;  // bytes of incomplete or held requests, over all clients
     std::size_t clientsWithValidRequest_ = 0;
     std::optional<DrainSchedule> drain_;
@@ -126,6 +122,7 @@
     std::vector<ClientConnection*> awaitingMemory_;
     std::vector<ClientConnection*> disconnected_;  // removed with the next iteration
     Nanos nextDisconnectCheckAt_ = 0;
+    Nanos nextStallCheckAt_ = 0;
     Nanos exhaustionReportedAt_ = 0;
     std::uint64_t iteration_ = 1;
 };
--- a/src/proxy/connection_pool.cpp
+++ b/src/proxy/connection_pool.cpp
@@ -1,11 +1,11 @@
 #include "proxy/connection_pool.hpp"
 
+#include "proxy/upstream_connection.hpp"
 #include "proxy/upstream_server.hpp"
 
 namespace poppyscale::proxy {
 
-void ConnectionPool::setCapacity(std::size_t maxConnections, std::size_t maxBufferedBytes) {
-    limits_.maxBufferedBytes = maxBufferedBytes;
+void ConnectionPool::setCapacity(std::size_t maxConnections) {
     limits_.maxConnections = maxConnections;
     while (connectionCount_ > limits_.maxConnections) {
         const bool wasClosed = closeLongestIdle();
@@ -41,9 +41,12 @@
         if (server->hasWaitingAttempts()) server->serveWaiting();
 }
 
-void ConnectionPool::updateBufferedBytes(std::size_t before, std::size_t after) {
-    bufferedBytes_ -= before;
-    bufferedBytes_ += after;
+void ConnectionPool::admitReaders() {
+    while (!awaitingRead_.empty()) {
+        UpstreamConnection& connection = *awaitingRead_.front();
+        if (!connection.tryRead()) return;
+        awaitingRead_.pop_front();
+    }
 }
 
 }  // namespace poppyscale::proxy
--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -11,7 +11,7 @@
 // limit because new servers may keep appearing under new names.
 constexpr std::size_t kRemovedServersMemoryDivisor = 32;
 constexpr std::size_t kRequestMemoryDivisor = 8;
-constexpr std::size_t kResponseMemoryDivisor = 16;
+constexpr std::size_t kResponseMemoryDivisor = 8;
 
 // Servers close a connection that has idled for `serverIdleTimeout`. The router closes it a tenth
 // earlier, so that a request that is on its way still arrives in time.
@@ -26,8 +26,7 @@
 ConnectionPool::Limits limitsOf(const protocol::StartupConfig& config, std::size_t maxConnections) {
     return {.maxConnections = maxConnections,
             .idleTimeout = idleTimeoutBefore(config.serverIdleTimeout),
-            .connectTimeout = config.connectTimeout,
-            .maxBufferedBytes = config.memoryLimitBytes / kResponseMemoryDivisor};
+            .connectTimeout = config.connectTimeout};
 }
 
 }  // namespace
@@ -38,7 +37,8 @@
     : loop_(loop),
       log_(std::move(log)),
       guard_(log_),
-      pool_(loop, buffers, *this, guard_, limitsOf(config, maxConnections)),
+      responses_(config.memoryLimitBytes / kResponseMemoryDivisor),
+      pool_(loop, buffers, *this, guard_, responses_, limitsOf(config, maxConnections)),
       maxOpenRequests_(config.maxOpenRequests),
       maxBufferedBytes_(config.memoryLimitBytes / kRequestMemoryDivisor),
       servers_(pool_, config.policy, config.memoryLimitBytes / kRemovedServersMemoryDivisor, log_),
@@ -188,13 +188,15 @@
 
 void RequestDispatcher::setLimits(std::size_t memory, std::size_t maxConnections) {
     maxBufferedBytes_ = memory / kRequestMemoryDivisor;
-    pool_.setCapacity(maxConnections, memory / kResponseMemoryDivisor);
+    responses_.setCapacity(memory / kResponseMemoryDivisor);
+    pool_.setCapacity(maxConnections);
 }
 
 // ---- Events
 
 void RequestDispatcher::runIteration() {
     servers_.sampleClockOffset(transport::EventLoop::now());
+    pool_.admitReaders();
     while (isWakeupDue_ || !events_.empty() || pool_.hasFreedCapacity()) {
         isWakeupDue_ = false;
         if (pool_.hasFreedCapacity()) pool_.serveWaiting();
--- a/src/proxy/request_dispatcher.hpp
+++ b/src/proxy/request_dispatcher.hpp
@@ -23,6 +23,7 @@
 #include "proxy/invariant_guard.hpp"
 #include "proxy/pending_request.hpp"
 #include "proxy/request_table.hpp"
+#include "proxy/response_budget.hpp"
 #include "proxy/response_sink.hpp"
 #include "proxy/upstream_registry.hpp"
 #include "transport/buffer_pool.hpp"
@@ -69,6 +70,9 @@
     // Completes all requests within this call: rejects those that had no attempt, fails the others.
     void failAll();
 
+    // The memory of the responses of all requests.
+    ResponseBudget& responseBudget() { return responses_; }
+
     // ---- Upstream servers
 
     std::size_t connectionCount() const { return pool_.connectionCount(); }
@@ -152,6 +156,7 @@
     transport::EventLoop& loop_;
     Log log_;
     InvariantGuard guard_;
+    ResponseBudget responses_;
     ConnectionPool pool_;
     std::size_t maxOpenRequests_;
     std::size_t maxBufferedBytes_;  // limit on the estimated memory of all open requests
--- a/src/proxy/upstream_codec.cpp
+++ b/src/proxy/upstream_codec.cpp
@@ -44,7 +44,7 @@
         return protocol::readCacheResponse(decoder_.takeValue());
     }
     bool isReusable() const override { return isReusable_; }
-    std::size_t bufferedBytes() const override { return decoder_.bufferedBytes(); }
+    std::size_t expectedBytes() const override { return decoder_.expectedBytes(); }
     void clear() override {}
 
   private:
@@ -83,7 +83,7 @@
         return {outcome, {}, status >= 500};
     }
     bool isReusable() const override { return response_.isKeepAlive(); }
-    std::size_t bufferedBytes() const override { return response_.bufferedBytes(); }
+    std::size_t expectedBytes() const override { return response_.expectedBytes(); }
     void clear() override { response_.clear(); }
 
   private:
--- a/src/proxy/upstream_codec.hpp
+++ b/src/proxy/upstream_codec.hpp
@@ -39,8 +39,9 @@
     virtual protocol::AttemptResponse takeResponse() = 0;
     // After `complete`: whether another request may be sent on the connection.
     virtual bool isReusable() const = 0;
-    // The number of buffered bytes of an incomplete response.
-    virtual std::size_t bufferedBytes() const = 0;
+    // The bytes of an incomplete response that are buffered and, as far as it has announced them, those that
+    // will be.
+    virtual std::size_t expectedBytes() const = 0;
     // Prepares for the next response.
     virtual void clear() = 0;
 };
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -23,7 +23,7 @@
       codec_(isOrigin ? makeOriginCodec() : makeCacheCodec()) {}
 
 UpstreamConnection::~UpstreamConnection() {
-    pool_.updateBufferedBytes(bufferedBytes_, 0);
+    releaseResponse();
     if (responseSink_) responseSink_->onAborted();
     if (requestBody_) requestBody_->cancel();
 }
@@ -108,15 +108,39 @@
         return endAttempt(std::move(response), codec_->isReusable());
     }
     if (state == CodecState::malformed) return endAttempt({}, false);
-    setBufferedBytes(codec_->bufferedBytes());
+    reserveResponse();
 }
 
-// Each response has its own size limit, but many incomplete responses together could exhaust the memory
-// of a small machine, so the pool limits their sum.
-void UpstreamConnection::setBufferedBytes(std::size_t bytes) {
-    pool_.updateBufferedBytes(bufferedBytes_, bytes);
-    bufferedBytes_ = bytes;
-    if (pool_.isOverBufferLimit()) endAttempt({}, false);
+// Each response has its own size limit, but many incomplete responses together could exhaust the memory of a
+// small machine. A response that has its reservation can be read to its end, so that no two wait for each
+// other's memory. What has been read without one is counted all the same.
+void UpstreamConnection::reserveResponse() {
+    const std::size_t expected = codec_->expectedBytes();
+    if (expected <= reservedBytes_ || tryRead()) return;
+    isAwaitingRead_ = true;
+    connection_.setReading(false);
+    pool_.awaitRead(*this);
+}
+
+bool UpstreamConnection::tryRead() {
+    const std::size_t expected = codec_->expectedBytes();
+    if (!pool_.responses().mayRead(expected - reservedBytes_)) return false;
+    setReservedBytes(expected);
+    if (isAwaitingRead_) connection_.setReading(true);
+    isAwaitingRead_ = false;
+    return true;
+}
+
+void UpstreamConnection::setReservedBytes(std::size_t bytes) {
+    pool_.responses().updateIncomplete(reservedBytes_, bytes);
+    reservedBytes_ = bytes;
+}
+
+void UpstreamConnection::releaseResponse() {
+    setReservedBytes(0);
+    if (!isAwaitingRead_) return;
+    isAwaitingRead_ = false;
+    pool_.cancelRead(*this);
 }
 
 void UpstreamConnection::onClosed() {
@@ -214,8 +238,7 @@
     const bool isKept = isReusable && response.isWellFormed && isWritten() && !isStale();
     Attempt* const attempt = releaseAttempt();
     codec_->clear();
-    pool_.updateBufferedBytes(bufferedBytes_, 0);
-    bufferedBytes_ = 0;
+    releaseResponse();
     responseBodyLeft_ = 0;
     if (isKept)
         beginCooldown();
--- a/src/proxy/upstream_connection.hpp
+++ b/src/proxy/upstream_connection.hpp
@@ -74,6 +74,10 @@
     // or the server is not usable.
     bool isStale() const;
     Nanos idleSince() const { return idleSince_; }
+    // Whether the rest of the response is not read for want of memory.
+    bool isAwaitingRead() const { return isAwaitingRead_; }
+    // Reads on if there is memory for the rest of the response; else returns false.
+    bool tryRead();
 
   private:
     enum class State : std::uint8_t {
@@ -99,9 +103,10 @@
 
     // Passes a chunk of a streamed response to the client. False when the connection was removed.
     bool forwardChunk(std::size_t length, std::string_view bytes);
-    // Sets the count of buffered response bytes. Ends the attempt and removes the connection if the
-    // pool's buffer limit is exceeded.
-    void setBufferedBytes(std::size_t bytes);
+    // Reserves memory for an incomplete response. Without it, stops reading until the pool has some.
+    void reserveResponse();
+    void setReservedBytes(std::size_t bytes);
+    void releaseResponse();
     void extendTimeout();
 
     // Transitions.
@@ -129,7 +134,8 @@
     RequestBody* requestBody_ = nullptr;
     std::size_t requestBodyLeft_ = 0;
     Nanos idleSince_ = 0;
-    std::size_t bufferedBytes_ = 0;  // buffered bytes of an incomplete response
+    std::size_t reservedBytes_ = 0;  // of an incomplete response
+    bool isAwaitingRead_ = false;
 };
 
 }  // namespace poppyscale::proxy
--- a/src/proxy/upstream_server.cpp
+++ b/src/proxy/upstream_server.cpp
@@ -165,6 +165,8 @@
         connection->isWritten() ? AttemptOutcome::timedOut : AttemptOutcome::connectFailed;
     const bool isStreamStalled = attempt.firstByteAt() != 0;
     if (isStreamStalled) outcome = AttemptOutcome::failed;
+    // The router stopped reading, which says nothing about the server.
+    if (connection->isAwaitingRead()) outcome = AttemptOutcome::notExecuted;
     connection->releaseAttempt();
     remove(*connection);
     // If the server sent no byte while the attempt was in flight, its machine may be cut off, which leaves
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -1,7 +1,9 @@
 #include "transport/connection.hpp"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -51,7 +53,10 @@
     // Chunks that the kernel has not taken yet. The first is passed to libuv; small writes share a buffer.
     std::deque<WriteChunk> queue;
     std::size_t queuedBytes = 0;
-    bool isWriting = false;  // libuv is writing the first chunk
+    bool isWriting = false;  // libuv is writing the first chunk, or the marker
+    // The last byte that `writeSome` has taken, which libuv writes as soon as the kernel takes more.
+    char marker = 0;
+    bool isMarkerUnsent = false;
     std::uint64_t sentBytes = 0;
     bool hasPeerFinished = false;
 
@@ -78,7 +83,7 @@
     static Handle& of(void* data) { return *static_cast<Handle*>(data); }
 
     bool enqueue(std::string_view bytes) {
-        const bool wasQueued = !queue.empty();
+        const bool wasQueued = !queue.empty() || isMarkerUnsent;
         while (!bytes.empty()) {
             // The first chunk is being written, so nothing may be added to it.
             if (queue.size() < 2 || queue.back().size == kBufferSize) {
@@ -96,9 +101,15 @@
         if (wasQueued || queue.empty()) return true;
         return writeFirst();
     }
-    bool writeFirst() {
-        const uv_buf_t data =
-            uv_buf_init(queue.front().buffer->data(), static_cast<unsigned>(queue.front().size));
+    bool writeFirst() { return passToLibuv(queue.front().buffer->data(), queue.front().size); }
+    bool writeMarker(char byte) {
+        marker = byte;
+        isMarkerUnsent = passToLibuv(&marker, sizeof marker);
+        if (isMarkerUnsent) queuedBytes += sizeof marker;
+        return isMarkerUnsent;
+    }
+    bool passToLibuv(char* bytes, std::size_t size) {
+        const uv_buf_t data = uv_buf_init(bytes, static_cast<unsigned>(size));
         isWriting = uv_write(&write, stream(), &data, 1, [](uv_write_t* request, int status) {
                         of(request->data).onWritten(status);
                     }) == 0;
@@ -109,17 +120,26 @@
     std::size_t unsentBytes() const {
         if (!isWriting) return queuedBytes;
         const auto* const uvStream = reinterpret_cast<const uv_stream_t*>(&socket);
-        return queuedBytes - queue.front().size + uv_stream_get_write_queue_size(uvStream);
+        return queuedBytes - firstSize() + uv_stream_get_write_queue_size(uvStream);
+    }
+    // The size of what libuv is writing.
+    std::size_t firstSize() const { return isMarkerUnsent ? sizeof marker : queue.front().size; }
+    void removeFirst() {
+        if (isMarkerUnsent) {
+            isMarkerUnsent = false;
+            return;
+        }
+        pool.give(std::move(queue.front().buffer));
+        queue.pop_front();
     }
     void onWritten(int status) {
         isWriting = false;
         // Bytes whose write failed stay counted as unsent: callers must not take them for written.
         if (status == 0) {
-            queuedBytes -= queue.front().size;
-            sentBytes += queue.front().size;
+            queuedBytes -= firstSize();
+            sentBytes += firstSize();
         }
-        pool.give(std::move(queue.front().buffer));
-        queue.pop_front();
+        removeFirst();
         if (!handler) return;
         bool isBroken = status < 0;
         if (!isBroken && !queue.empty()) isBroken = !writeFirst();
@@ -204,10 +224,29 @@
     return handle_->enqueue(bytes);
 }
 
+std::optional<std::size_t> Connection::writeSome(std::string_view bytes) {
+    if (bytes.empty() || handle_->queuedBytes > 0) return 0;
+    uv_buf_t data = uv_buf_init(const_cast<char*>(bytes.data()), static_cast<unsigned>(bytes.size()));
+    const int result = uv_try_write(handle_->stream(), &data, 1);
+    if (result < 0 && result != UV_EAGAIN) return std::nullopt;
+    const std::size_t written = result < 0 ? 0 : static_cast<std::size_t>(result);
+    handle_->sentBytes += written;
+    if (written == bytes.size()) return written;
+    if (!handle_->writeMarker(bytes[written])) return std::nullopt;
+    return written + 1;
+}
+
 std::size_t Connection::unsentBytes() const { return handle_->unsentBytes(); }
 
 std::uint64_t Connection::sentBytes() const { return handle_->sentBytes; }
 
+std::uint64_t Connection::acknowledgedBytes() const {
+    int inKernel = 0;
+    const bool isKnown = ioctl(descriptor(), SIOCOUTQ, &inKernel) == 0 && inKernel > 0;
+    return sentBytes() -
+           (isKnown ? std::min<std::uint64_t>(sentBytes(), static_cast<unsigned>(inKernel)) : 0);
+}
+
 void Connection::shutdownWrite() {
     uv_shutdown(&handle_->shutdown, handle_->stream(), [](uv_shutdown_t*, int) {});
 }
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -49,10 +49,16 @@
     void setReading(bool on);
     // False when the write failed or the pool is empty; the connection can't be used any more then.
     bool write(std::string_view bytes);
+    // Writes what the kernel takes now, without a buffer for the rest: returns the number of bytes taken, and
+    // 0 until `onDrained` if earlier ones were left over. If it is less than all, `onDrained` follows once
+    // the kernel takes more. None when the write failed; the connection can't be used any more then.
+    std::optional<std::size_t> writeSome(std::string_view bytes);
     // Bytes written that the kernel has not taken yet.
     std::size_t unsentBytes() const;
     // Bytes that the kernel has taken since the connection was established.
     std::uint64_t sentBytes() const;
+    // Of these, bytes that the peer has acknowledged.
+    std::uint64_t acknowledgedBytes() const;
     // Shuts down the sending side once all written bytes are sent; reading continues.
     void shutdownWrite();
     // Whether the kernel has unread bytes.
