Forward no long write before the number of its arguments is known to be right

Cause: the head was checked by the arguments read so far, not by the announced length of the array. Change: the decoder streams a client's value only as the array's last item. Nothing of such a command is forwarded; the client gets an error and a close.

--- a/src/protocol/resp.cpp
+++ b/src/protocol/resp.cpp
@@ -115,11 +115,16 @@
     return type == '$' ? beginBulk(length) : beginArray(length);
 }
 
+bool RespDecoder::isAtStreamedItem() const {
+    if (openArrays_.size() != 1) return false;
+    const OpenArray& outermost = openArrays_[0];
+    const bool mayStream = !limits_.streamsLastItemOnly || outermost.itemsLeft == 1;
+    return mayStream && outermost.array.items.size() == limits_.streamedItem;
+}
+
 RespDecoder::State RespDecoder::beginBulk(std::size_t length) {
-    const bool isStreamable =
-        openArrays_.size() == 1 && openArrays_[0].array.items.size() == limits_.streamedItem;
     const bool isTooLong = length > limits_.maxBulkLength;
-    if (isTooLong && length <= limits_.maxStreamedLength && isStreamable) {
+    if (isTooLong && length <= limits_.maxStreamedLength && isAtStreamedItem()) {
         streamedLength_ = length;
         streamedBytesLeft_ = length + kBulkTerminator.size();
         bulk_ = {RespValue::Kind::bulk, {}, {}};
--- a/src/protocol/resp.hpp
+++ b/src/protocol/resp.hpp
@@ -34,9 +34,11 @@
         std::size_t maxValueSize = 256 * 1024;  // encoded bytes of one value with all its items
         bool commandsOnly = false;              // accepts only arrays of bulk strings
         // A bulk string longer than `maxBulkLength` and at most this long is streamed if it is the
-        // item `streamedItem` of an outermost array.
+        // item `streamedItem` of an outermost array. With `streamsLastItemOnly` it must also be the
+        // last item, so that the array is well-formed once the string has ended.
         std::size_t maxStreamedLength = 0;
         std::size_t streamedItem = 0;
+        bool streamsLastItemOnly = false;
     };
     // streamBegins: `itemsBeforeStream` and `streamedLength` are known. streamChunk: `chunk` is the
     // next part of the streamed bulk string, whose last byte is delivered only after its terminator
@@ -79,6 +81,8 @@
     State feedStreamed(std::string_view& bytes);
     State readLine();
     State beginBulk(std::size_t length);
+    // Whether the next item is the one that may be streamed.
+    bool isAtStreamedItem() const;
     State beginArray(std::size_t length);
     State addValue(RespValue value);
     State limitValueSize(State state);
--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -26,14 +26,16 @@
 // connection.
 constexpr Nanos kMaxStreamUnreadDuration = 10'000 * kMillisecond;
 
-// The value of a write, its last argument, is streamed if it is longer than `maxBulkLength`.
+// The value of a write, its last argument, is streamed if it is longer than `maxBulkLength`. Nothing of a
+// command that has further arguments is forwarded.
 constexpr protocol::RespDecoder::Limits kRequestLimits{.maxBulkLength = 64 * 1024,
                                                        .maxItems = 16,
                                                        .maxDepth = 1,
                                                        .maxValueSize = 80 * 1024,
                                                        .commandsOnly = true,
                                                        .maxStreamedLength = 4 * 1024 * 1024,
-                                                       .streamedItem = 4};
+                                                       .streamedItem = 4,
+                                                       .streamsLastItemOnly = true};
 
 }  // namespace
 
--- a/tests/slow_reader_test.cpp
+++ b/tests/slow_reader_test.cpp
@@ -48,7 +48,7 @@
     return bytes + array({"OBJ.SET", "k", idOf(client, kPayment), "c=pay,t=north,d=950", "1"});
 }
 
-// Answers reads with values of kValueBytes and writes with receipts, which `mode` "through" sends to caches.
+// Answers reads with values of kValueBytes, and writes with receipts.
 void serveCache(Socket& connection) {
     const auto words = connection.readCommand();
     if (words.size() == 4) connection.send(hit(words[2] + std::string(kValueBytes, 'v')));
@@ -83,10 +83,12 @@
 TEST_CASE("clients that send several requests at once and read slowly get all their responses") {
     constexpr int kClients = 150;
     auto start = startConfigWithMemory(16);
-    start["settings"]["familyInfo"]["mode"] = "through";
+    start["settings"]["familyInfo"] = {{"mode", "through"}, {"originKind", -1}};
     RouterFixture fixture(4, start);
     std::list<ServerThreads> servers;
     for (TestServer& cache : fixture.caches) servers.emplace_back(cache, serveCache);
+    // In mode "through" every listed server is a cache server.
+    servers.emplace_back(fixture.origin, serveCache);
     std::atomic<int> responses{0};
     {
         std::vector<std::jthread> clients;
