Read input ahead while attempts may start, so that the client's close is seen

Cause: at 128 outstanding requests the connection is not read, and the end of the stream stays on the client's machine behind a full receive window. Change: the input is read ahead, counted with the incomplete requests and bounded by a quarter of their limit, and parsed as requests are answered. Deferred connections wait for the next iteration.

--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -65,9 +65,11 @@
 
 void ClientConnection::continueReading() {
     if (holdsInput() && lacksResponseCapacity()) awaitMemory();
-    if (unparsed_.empty() || holdsBackInput()) return flush();
-    const std::string unparsed = std::exchange(unparsed_, {});
-    parse(unparsed, unparsedArrivedAt_);
+    if (unparsed_.isEmpty() || holdsBackInput()) return flush();
+    const std::string_view held = unparsed_.view();
+    const std::string_view rest = parse(held, unparsed_.arrivedAt());
+    unparsed_.consume(held.size() - rest.size());
+    afterParsing();
 }
 
 void ClientConnection::awaitMemory() {
@@ -102,10 +104,12 @@
     markActive();
     const Nanos arrivedAt = loop_.earliestArrival();
     liveness_.onRead(bytes.size(), arrivedAt);
-    parse(bytes, arrivedAt);
+    const std::string_view rest = unparsed_.isEmpty() ? parse(bytes, arrivedAt) : bytes;
+    unparsed_.append(rest, arrivedAt);
+    afterParsing();
 }
 
-void ClientConnection::parse(std::string_view bytes, Nanos arrivedAt) {
+std::string_view ClientConnection::parse(std::string_view bytes, Nanos arrivedAt) {
     if (!decoder_.isInValue() && requestBegunAt_ == 0) requestBegunAt_ = transport::EventLoop::now();
     using DecoderState = protocol::RespDecoder::State;
     DecoderState state = DecoderState::complete;
@@ -114,10 +118,15 @@
         onDecoded(state, arrivedAt);
         if (state == DecoderState::complete) requestBegunAt_ = lastActivity_;
     }
-    unparsed_ = state_ == State::open ? bytes : std::string_view();
-    unparsedArrivedAt_ = arrivedAt;
+    return bytes;
+}
+
+void ClientConnection::afterParsing() {
+    if (state_ != State::open) {
+        unparsed_.clear();
+        abandonStreamedWrite();
+    }
     if (holdsInput() && !write_.isActive()) awaitMemory();
-    if (state_ != State::open) abandonStreamedWrite();
     reportPartialRequest();
     if (!decoder_.isInValue() || state_ != State::open) requestBegunAt_ = 0;
     flush();
@@ -215,7 +224,7 @@
 }
 
 void ClientConnection::onStreamedWriteFinished() {
-    if (!unparsed_.empty()) owner_.deferReading(*this);
+    if (!unparsed_.isEmpty()) owner_.deferReading(*this);
 }
 
 // Ends the write without reading the rest of its value. The error that closes the connection takes
@@ -252,12 +261,28 @@
            owner_.mayHoldInput();
 }
 
+// Requests that are not accepted any more are answered at once, however many there are.
+bool ClientConnection::isPipelineFull() const {
+    if (!owner_.acceptsRequests(0)) return false;
+    return pipeline_.size() >= kMaxPipelinedRequests || unreadBytes() >= kMaxUnsentBytes;
+}
+
+bool ClientConnection::mayRead() const {
+    return !isPipelineFull() && !write_.isBlocked() && unparsed_.isEmpty();
+}
+
+// The end of the stream is behind the bytes before it, and stays on the client's machine if these exceed the
+// receive window. So they are read while an attempt may still start for the client.
+bool ClientConnection::mayReadAhead() const {
+    return pipeline_.hasPendingRequest() && owner_.mayReadAhead() && !write_.hasSink();
+}
+
 void ClientConnection::updateReading() {
     // Nothing is read while a response is being streamed: if it is aborted, the connection is
     // closed, and requests that were read meanwhile would be lost.
-    const bool isAllowed = state_ == State::open && pipeline_.size() < kMaxPipelinedRequests &&
-                           unreadBytes() < kMaxUnsentBytes && !write_.isBlocked() &&
-                           !pipeline_.isStreaming() && unparsed_.empty();
+    const bool isReadable = state_ == State::open && !pipeline_.isStreaming();
+    const bool isAllowed = isReadable && mayRead();
+    const bool isReadAhead = isReadable && !isAllowed && mayReadAhead();
     // The time during which the connection was not read does not count against the client.
     if (isAllowed && !isReadingAllowed_ && requestBegunAt_) {
         lastReadAt_ = transport::EventLoop::now();
@@ -267,9 +292,9 @@
     // Each connection has a share of an iteration, so that a client that sends at full speed does
     // not delay the others.
     const bool isShareUsed = readIteration_ == owner_.iteration() && readInIteration_ >= kMaxReadPerIteration;
-    const bool isDeferred = isAllowed && isShareUsed;
+    const bool isDeferred = (isAllowed || isReadAhead) && isShareUsed;
     if (isDeferred) owner_.deferReading(*this);
-    const bool isReading = isAllowed && !isDeferred;
+    const bool isReading = (isAllowed || isReadAhead) && !isDeferred;
     if (!isReading) liveness_.onReadingStopped();
     connection_.setReading(isReading);
 }
--- a/src/proxy/client_connection.hpp
+++ b/src/proxy/client_connection.hpp
@@ -11,6 +11,7 @@
 #include "base/time.hpp"
 #include "protocol/request.hpp"
 #include "protocol/resp.hpp"
+#include "proxy/held_input.hpp"
 #include "proxy/peer_liveness.hpp"
 #include "proxy/pipelined_request.hpp"
 #include "proxy/request_dispatcher.hpp"
@@ -61,6 +62,8 @@
         virtual ResponseBudget& responseBudget() = 0;
         // Whether requests may wait for that budget; else they are rejected.
         virtual bool mayHoldInput() const = 0;
+        // Whether input may be read that can't be parsed yet, to notice that the client closes.
+        virtual bool mayReadAhead() const = 0;
         // Calls `onMemoryReleased` once the budget has released memory, or no input may be held any more.
         virtual void awaitMemory(ClientConnection& connection) = 0;
         // The number of buffered bytes of the connection's incomplete or held requests has changed from
@@ -105,7 +108,7 @@
     bool mayClose() const { return isIdle() && !connection_.hasUnreadBytes(); }
     // A response is outstanding, or the kernel has not taken all of it yet.
     bool hasOutstandingResponses() const {
-        return !pipeline_.isEmpty() || !unparsed_.empty() || unsentBytes() > 0;
+        return !pipeline_.isEmpty() || !unparsed_.isEmpty() || unsentBytes() > 0;
     }
     // Whether the connection may be closed in favour of a new client: its client waits for no
     // response, and has sent nothing, an incomplete request, or only invalid ones.
@@ -131,7 +134,7 @@
     const ResponseUsage& responseUsage() const { return reportedUsage_; }
     std::size_t partialRequestBytes() const { return reportedPartialBytes_; }
     // Whether the bytes of requests are held until earlier ones are answered.
-    bool holdsInput() const { return !unparsed_.empty(); }
+    bool holdsInput() const { return !unparsed_.isEmpty(); }
 
     // Answers the request with the largest response that is not written as failed instead, to free
     // memory. Returns false if there is none.
@@ -163,7 +166,9 @@
     void onStreamedWriteFinished() override;
 
     // Requests.
-    void parse(std::string_view bytes, Nanos arrivedAt);
+    // Parses as much of `bytes` as possible and returns the rest.
+    std::string_view parse(std::string_view bytes, Nanos arrivedAt);
+    void afterParsing();
     void onDecoded(protocol::RespDecoder::State state, Nanos arrivedAt);
     void onMessage(protocol::RespValue message, Nanos arrivedAt);
     void onStreamedWriteHead(Nanos arrivedAt);
@@ -183,7 +188,7 @@
     void awaitMemory();
     // Nothing would be lost beside the first request if the connection were closed.
     bool isOnlyRequest() const {
-        return pipeline_.size() == 1 && unparsed_.empty() && !connection_.hasUnreadBytes();
+        return pipeline_.size() == 1 && unparsed_.isEmpty() && !connection_.hasUnreadBytes();
     }
     void onCollectTimeout();
     void fail(PipelinedRequest& request);
@@ -206,11 +211,17 @@
 
     // Reading and time.
     // The rest of the input must not be parsed yet.
-    bool holdsBackInput() const { return write_.holdsBackInput() || lacksResponseCapacity(); }
+    bool holdsBackInput() const {
+        return write_.holdsBackInput() || isPipelineFull() || lacksResponseCapacity();
+    }
+    // Too many requests, or response bytes that the client does not read, are outstanding.
+    bool isPipelineFull() const;
     // The next request would be behind another one, and there is no memory for its response.
     bool lacksResponseCapacity() const;
     std::size_t unreadBytes() const;
     void updateUnreadSince();
+    bool mayRead() const;
+    bool mayReadAhead() const;
     void updateReading();
     void updateTimer();
     Nanos requestReadDeadline() const;
@@ -228,8 +239,7 @@
     protocol::RespDecoder decoder_;
     RequestPipeline pipeline_;
     StreamedWrite write_;
-    std::string unparsed_;  // input that is held back
-    Nanos unparsedArrivedAt_ = 0;
+    HeldInput unparsed_;
     bool isAwaitingMemory_ = false;
     State state_ = State::open;
     // Taken from the pipeline, but not by the kernel yet: of one part of the output, the rest.
--- a/src/proxy/client_listener.cpp
+++ b/src/proxy/client_listener.cpp
@@ -40,7 +40,8 @@
       maxPartialRequestBytes_(maxPartialRequestBytes),
       maxUnreadDuration_(maxUnreadDuration),
       listener_(
-          std::make_unique<transport::Listener>(loop, [this](const auto& finish) { onAccept(finish); })) {
+          std::make_unique<transport::Listener>(loop, [this](const auto& finish) { onAccept(finish); })),
+      wakeup_(loop, [] {}) {
     listener_->onExhausted([this](std::string_view reason) { reportExhaustion(reason); });
 }
 
@@ -111,6 +112,11 @@
     return !rejectsRequests_ && partialRequestBytes_ <= maxPartialRequestBytes_ / 2;
 }
 
+// The other half of what may be held is left to requests that wait for the memory of their responses.
+bool ClientListener::mayReadAhead() const {
+    return !rejectsRequests_ && partialRequestBytes_ <= maxPartialRequestBytes_ / 4;
+}
+
 void ClientListener::onActive(ClientConnection& client) {
     clients_.splice(clients_.end(), clients_, client.position());
 }
@@ -183,12 +189,15 @@
     }
 }
 
+// A connection that defers its reading again waits for the next iteration: one client that sends many small
+// requests does not delay the others.
 void ClientListener::readDeferred() {
-    while (!deferred_.empty()) {
+    for (std::size_t left = deferred_.size(); left > 0 && !deferred_.empty(); --left) {
         ClientConnection* const client = deferred_.front();
         deferred_.pop_front();
         client->continueReading();
     }
+    if (!deferred_.empty()) wakeup_.start(transport::EventLoop::now());
 }
 
 // A connection that still lacks memory registers again.
--- a/src/proxy/client_listener.hpp
+++ b/src/proxy/client_listener.hpp
@@ -76,6 +76,7 @@
     void onFirstValidRequest() override { ++clientsWithValidRequest_; }
     ResponseBudget& responseBudget() override { return dispatcher_.responseBudget(); }
     bool mayHoldInput() const override;
+    bool mayReadAhead() const override;
     void awaitMemory(ClientConnection& client) override { awaitingMemory_.push_back(&client); }
     void relieveResponses() override;
     void updatePartialRequestBytes(std::size_t before, std::size_t after) override;
@@ -118,6 +119,7 @@
     std::unique_ptr<transport::Listener> listener_;
     ClientConnection::List clients_;          // the least recently active first
     std::deque<ClientConnection*> deferred_;  // read again with the next iteration
+    transport::Timer wakeup_;                 // lets the next poll not wait while `deferred_` is not empty
     // Hold requests or a streamed response until there is memory for them; the longest wait first.
     std::vector<ClientConnection*> awaitingMemory_;
     std::vector<ClientConnection*> disconnected_;  // removed with the next iteration
--- a/src/proxy/peer_liveness.hpp
+++ b/src/proxy/peer_liveness.hpp
@@ -16,9 +16,9 @@
 // The recorded arrival time of bytes may be up to 40 ms too late: a poll takes up to 20 ms, and
 // `EventLoop::earliestArrival` ignores delays of up to 10 ms each in the poll and in the iteration before
 // it. An attempt therefore starts at most 60 ms after the close, provided that the kernel has received the
-// end of the stream by then. The kernel has not received it if the client closed after sending more bytes
-// than fit in this machine's receive window (64 KiB initially): the end then stays on the client's machine
-// until the router reads more.
+// end of the stream by then. If the client closed after sending more bytes than fit in this machine's receive
+// window (64 KiB initially), the end stays on the client's machine until the router reads more, which
+// `ClientConnection::mayReadAhead` lets it do within a memory limit. Beyond that limit the close is not noticed.
 class PeerLiveness {
   public:
     static constexpr Nanos kKnownOpenDuration = 20 * kMillisecond;
--- a/src/proxy/streamed_write.cpp
+++ b/src/proxy/streamed_write.cpp
@@ -3,6 +3,11 @@
 #include <utility>
 
 namespace poppyscale::proxy {
+namespace {
+
+constexpr std::size_t kMaxForwardedBytes = 32 * 1024;  // in one call of the sink
+
+}  // namespace
 
 void StreamedWrite::begin(PipelinedRequest& request, std::size_t length) {
     request_ = &request;
@@ -79,10 +84,17 @@
     resume();
 }
 
+// Passes on what has been read ahead in parts, so that the sink can stop it.
 void StreamedWrite::resume() {
     state_ = State::streaming;
     const std::string buffered = std::exchange(buffered_, {});
-    if (!buffered.empty()) forward(buffered);
+    std::string_view rest = buffered;
+    while (!rest.empty() && state_ == State::streaming) {
+        const std::string_view part = rest.substr(0, kMaxForwardedBytes);
+        rest.remove_prefix(part.size());
+        forward(part);
+    }
+    if (state_ == State::paused) buffered_ = rest;
     owner_.onStreamedWriteProgress();
 }
 
--- a/src/proxy/streamed_write.hpp
+++ b/src/proxy/streamed_write.hpp
@@ -61,6 +61,8 @@
         return isActive() &&
                (state_ == State::awaitingSink || state_ == State::paused || state_ == State::delivered);
     }
+    // An attempt has begun to write the value.
+    bool hasSink() const { return sink_ != nullptr; }
     // The value has been read completely, but input that follows it must not be parsed yet.
     bool holdsBackInput() const { return isActive() && isAllRead_; }
     std::size_t bufferedBytes() const { return buffered_.size(); }
--- a/tests/client_disconnect_test.cpp
+++ b/tests/client_disconnect_test.cpp
@@ -184,6 +184,23 @@
         }
 }
 
+// Guards against a close that stays behind unread requests which exceed the kernel's receive window.
+TEST_CASE("no late attempt after a client disconnects behind more bytes than its receive window holds") {
+    const std::string longPrefix(1'000, 'k');
+    for (const int requests : {150, 200, 400})
+        for (const Milliseconds delay : {Milliseconds{110}, Milliseconds{150}}) {
+            CAPTURE(requests);
+            CAPTURE(delay.count());
+            RouterFixture fixture(1, startWithLongConnectTimeout());
+            Socket client = fixture.client();
+            std::thread sender([&] { client.send(manyGets(requests, longPrefix)); });
+            auto attempts = acceptAttempts(fixture.caches[0], 128);
+            sender.join();
+            REQUIRE_FALSE(attempts.empty());
+            closeThenRespond(fixture, client, attempts, delay);
+        }
+}
+
 TEST_CASE(
     "no late attempt after a client disconnects while requests wait for a connection to be established") {
     RouterFixture fixture(1, startWithLongConnectTimeout());
