Answer long writes at slow servers in time; pass on what a server still sends

Callers: a write of 110 kB to 1 MB to a server that stops reading, or reads 100 kB/s, was answered up to 5 s after its last byte with a timeout of 0.8 s; a long response that its server wrote slowly behind which another request waited was cut off at the deadline. Cause: the timeout for progress of a streamed write replaced the request's deadline, which then counted anew from the moment the last byte was passed on; a collected response had the deadline for its whole length. Change: every timeout of a streamed write is cut to the request's, which counts from the last moment at which its client had certainly not sent all of it; a collected response whose server sent something within 250 ms is passed on from its deadline. The test of a silent server (fails at the deadline) stays.

--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -20,11 +20,9 @@
 
 RequestBody* Attempt::takeBody() { return std::exchange(body_, nullptr); }
 
-// The client and the origin count the request's timeout from the last byte of its value, so the attempt's
-// timeout is counted from there, too.
-void Attempt::onBodySent(Nanos now) {
+void Attempt::onBodySent(Nanos now, Nanos deadline) {
     sentAt_ = now;
-    timeout_.start(now + message_.timeout);
+    timeout_.start(deadline);
 }
 
 }  // namespace poppyscale::proxy
--- a/src/proxy/attempt.hpp
+++ b/src/proxy/attempt.hpp
@@ -48,7 +48,8 @@
     void detach() { connection_ = nullptr; }
     // Returns the value to stream; null if there is none, and from the second call on.
     RequestBody* takeBody();
-    void onBodySent(Nanos now);
+    // The response is due by `deadline`.
+    void onBodySent(Nanos now, Nanos deadline);
     void onFirstByte(Nanos arrivedAt) { firstByteAt_ = arrivedAt; }
     // Sets the timeout to the absolute time `at`, in place of an earlier one.
     void startTimeout(Nanos at) { timeout_.start(at); }
--- a/src/proxy/body_stream.hpp
+++ b/src/proxy/body_stream.hpp
@@ -9,6 +9,8 @@
 #include <cstdint>
 #include <string_view>
 
+#include "base/time.hpp"
+
 namespace poppyscale::proxy {
 
 // A sink's reply to a chunk.
@@ -43,6 +45,9 @@
   public:
     // Sends the value to `sink`, beginning within this call.
     virtual void streamTo(BodySink& sink) = 0;
+    // The client had not sent the last byte of the value before this time. Its timeout counts from then: if
+    // the value is read no faster than a server takes it, the rest may already be with the kernel.
+    virtual Nanos sentAfter() const = 0;
 };
 
 }  // namespace poppyscale::proxy
--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -97,13 +97,16 @@
         if (ignoredBytes_ > kMaxIgnoredBytes) connection_.setReading(false);
         return;
     }
-    lastReadAt_ = transport::EventLoop::now();
+    const Nanos now = transport::EventLoop::now();
+    const Nanos idleTime = now - lastReadAt_;
+    lastReadAt_ = now;
     if (readIteration_ != owner_.iteration()) readInIteration_ = 0;
     readIteration_ = owner_.iteration();
     readInIteration_ += bytes.size();
     markActive();
     const Nanos arrivedAt = loop_.earliestArrival();
-    liveness_.onRead(bytes.size(), arrivedAt);
+    const bool hadReadAll = liveness_.onRead(bytes.size(), arrivedAt);
+    if (hadReadAll) write_.onArrival(arrivedAt, idleTime);
     const std::string_view rest = unparsed_.isEmpty() ? parse(bytes, arrivedAt) : bytes;
     unparsed_.append(rest, arrivedAt);
     afterParsing();
@@ -165,7 +168,7 @@
     if (const auto* control = std::get_if<protocol::ControlCommand>(&parsed))
         return replyAndClose(control->response);
     PipelinedRequest& slot = pipeline_.add(*this);
-    write_.begin(slot, decoder_.streamedLength());
+    write_.begin(slot, decoder_.streamedLength(), arrivedAt);
     dispatch(slot, std::move(std::get<protocol::Request>(parsed)), arrivedAt, &write_);
 }
 
@@ -296,6 +299,7 @@
     if (isDeferred) owner_.deferReading(*this);
     const bool isReading = (isAllowed || isReadAhead) && !isDeferred;
     if (!isReading) liveness_.onReadingStopped();
+    if (!isReading && write_.isBlocked()) write_.onReadingStopped();
     connection_.setReading(isReading);
 }
 
--- a/src/proxy/client_connection_responses.cpp
+++ b/src/proxy/client_connection_responses.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t kMaxWriteBytes = 64 * 1024;
 // How long a streamed value waits for memory in which to be collected. Requests behind it wait as well.
 constexpr Nanos kMaxMemoryWait = 200 * kMillisecond;
+// A server whose last bytes are no older is sending: what it sends slowly is passed on, not cut off.
+constexpr Nanos kMaxChunkGap = 250 * kMillisecond;
 // What a streamed value counts as, when the memory for a response is estimated.
 constexpr std::size_t kStreamedResponseBytes = 64 * 1024;
 
@@ -78,7 +80,7 @@
         const Existence existence = write(bytes);
         if (existence == Existence::destroyed) return FlowControl::closed;
     }
-    const bool isLast = request.countStreamed(bytes.size());
+    const bool isLast = request.countStreamed(bytes.size(), transport::EventLoop::now());
     if (isLast) append(request, protocol::kBulkTerminator);
     const Existence existence = tryFlush();
     if (existence == Existence::destroyed) return FlowControl::closed;
@@ -131,8 +133,15 @@
     PipelinedRequest* const front = pipeline_.streamingFront();
     if (!front || front->isDirect()) return;
     const Nanos end = front->isUndecided() ? front->memoryWaitEnd() : front->deadline();
-    if (end == 0 || transport::EventLoop::now() < end) return;
-    fail(*front);
+    const Nanos now = transport::EventLoop::now();
+    if (end == 0 || now < end) return;
+    const bool isArriving = front->isCollected() && now - front->lastChunkAt() < kMaxChunkGap;
+    if (isArriving) {
+        pipeline_.stopCollecting(*front);
+        reportUsage();
+    } else {
+        fail(*front);
+    }
     flush();
 }
 
--- a/src/proxy/peer_liveness.hpp
+++ b/src/proxy/peer_liveness.hpp
@@ -18,7 +18,8 @@
 // it. An attempt therefore starts at most 60 ms after the close, provided that the kernel has received the
 // end of the stream by then. If the client closed after sending more bytes than fit in this machine's receive
 // window (64 KiB initially), the end stays on the client's machine until the router reads more, which
-// `ClientConnection::mayReadAhead` lets it do within a memory limit. Beyond that limit the close is not noticed.
+// `ClientConnection::mayReadAhead` lets it do within a memory limit. Beyond that limit the close is not
+// noticed.
 class PeerLiveness {
   public:
     static constexpr Nanos kKnownOpenDuration = 20 * kMillisecond;
@@ -29,9 +30,12 @@
     // Bytes prove that the connection was open when they arrived. `arrivedAt` is only reliable if all
     // earlier bytes had been read: otherwise these bytes, and the end of the connection after them, may
     // have been in the kernel for a long time.
-    void onRead(std::size_t size, Nanos arrivedAt) {
-        if (hasReadAll_) knownOpenAt_ = std::max(knownOpenAt_, arrivedAt);
+    // Returns whether that was so.
+    bool onRead(std::size_t size, Nanos arrivedAt) {
+        const bool hadReadAll = hasReadAll_;
+        if (hadReadAll) knownOpenAt_ = std::max(knownOpenAt_, arrivedAt);
         hasReadAll_ = size < transport::kBufferSize;
+        return hadReadAll;
     }
     void onReadingStopped() { hasReadAll_ = false; }
 
--- a/src/proxy/pipelined_request.cpp
+++ b/src/proxy/pipelined_request.cpp
@@ -12,7 +12,8 @@
     unsent_ = text;
 }
 
-bool PipelinedRequest::countStreamed(std::size_t size) {
+bool PipelinedRequest::countStreamed(std::size_t size, Nanos now) {
+    lastChunkAt_ = now;
     streamedBytesLeft_ -= size;
     const bool isLast = streamedBytesLeft_ == 0;
     if (isLast) state_ = State::complete;
@@ -29,6 +30,11 @@
     unsent_.reserve(collectableBytes());
 }
 
+void PipelinedRequest::stopCollecting() {
+    delivery_ = Delivery::direct;
+    reservedBytes_ = 0;
+}
+
 void PipelinedRequest::append(std::string_view text) {
     unsent_.append(text);
     reservedBytes_ -= std::min(reservedBytes_, text.size());
--- a/src/proxy/pipelined_request.hpp
+++ b/src/proxy/pipelined_request.hpp
@@ -56,6 +56,10 @@
     // Reserves memory for the rest of the response.
     void collect();
     bool isCollected() const { return delivery_ == Delivery::collected; }
+    // Delivers what is collected, and passes on the rest as it arrives.
+    void stopCollecting();
+    // When the last bytes of a streamed response arrived.
+    Nanos lastChunkAt() const { return lastChunkAt_; }
     // What the response takes of the memory once it is collected.
     std::size_t collectableBytes() const;
     // By when the client has to get the final response; a time of the event loop's clock.
@@ -84,7 +88,7 @@
     void replaceResponse(std::string_view text);
 
     // Counts `size` more bytes of a streamed response. Returns whether they are the last ones.
-    bool countStreamed(std::size_t size);
+    bool countStreamed(std::size_t size, Nanos now);
     // Detaches the source during a call that may destroy this request, so that it is not cancelled.
     BodySource* takeSource();
     // Attaches the source again. `isPaused` says whether it was told that the sink is full.
@@ -116,6 +120,7 @@
     bool closesConnection_ = false;
     BodySource* source_ = nullptr;
     std::size_t streamedBytesLeft_ = 0;
+    Nanos lastChunkAt_ = 0;
     std::size_t reservedBytes_ = 0;
     bool isSourcePaused_ = false;
 };
--- a/src/proxy/request_pipeline.cpp
+++ b/src/proxy/request_pipeline.cpp
@@ -30,6 +30,10 @@
     update(request, [&] { request.collect(); });
 }
 
+void RequestPipeline::stopCollecting(PipelinedRequest& request) {
+    update(request, [&] { request.stopCollecting(); });
+}
+
 void RequestPipeline::replace(PipelinedRequest& request, std::string_view text) {
     update(request, [&] { request.replaceResponse(text); });
 }
--- a/src/proxy/request_pipeline.hpp
+++ b/src/proxy/request_pipeline.hpp
@@ -28,6 +28,8 @@
     void beginStream(PipelinedRequest& request, std::string_view head);
     // Collects the rest of a streamed response.
     void collect(PipelinedRequest& request);
+    // Delivers directly what has been collected, and the rest.
+    void stopCollecting(PipelinedRequest& request);
     // Replaces a response of which nothing is written.
     void replace(PipelinedRequest& request, std::string_view text);
     // Replaces the largest response of which nothing is written by `text`. Returns false if none takes
--- a/src/proxy/streamed_write.cpp
+++ b/src/proxy/streamed_write.cpp
@@ -5,17 +5,27 @@
 namespace poppyscale::proxy {
 namespace {
 
+// How long a client's machine takes at most to send what has waited for the receive window.
+constexpr Nanos kMaxRoundTrip = 100 * kMillisecond;
 constexpr std::size_t kMaxForwardedBytes = 32 * 1024;  // in one call of the sink
 
 }  // namespace
 
-void StreamedWrite::begin(PipelinedRequest& request, std::size_t length) {
+void StreamedWrite::begin(PipelinedRequest& request, std::size_t length, Nanos arrivedAt) {
     request_ = &request;
+    sentAfter_ = arrivedAt;
+    wasReadingStopped_ = false;
     bytesLeft_ = length;
     isAllRead_ = false;
     state_ = State::discarding;
 }
 
+// Bytes that follow a stop at once may have waited for the receive window.
+void StreamedWrite::onArrival(Nanos arrivedAt, Nanos idleTime) {
+    if (wasReadingStopped_ && idleTime < kMaxRoundTrip) return;
+    sentAfter_ = arrivedAt;
+}
+
 void StreamedWrite::onBytes(std::string_view bytes) {
     switch (state_) {
         case State::inactive:
--- a/src/proxy/streamed_write.hpp
+++ b/src/proxy/streamed_write.hpp
@@ -39,7 +39,11 @@
     explicit StreamedWrite(Owner& owner) : owner_(owner) {}
 
     // Begins a write whose value has `length` bytes, which are discarded unless `accept` follows.
-    void begin(PipelinedRequest& request, std::size_t length);
+    void begin(PipelinedRequest& request, std::size_t length, Nanos arrivedAt);
+    // The bytes that follow arrived at `arrivedAt`, `idleTime` after all earlier ones had been read.
+    void onArrival(Nanos arrivedAt, Nanos idleTime);
+    // The value is not read for a while, so that the rest of it may collect on the client's machine.
+    void onReadingStopped() { wasReadingStopped_ = isActive(); }
     // An attempt is going to stream the value.
     void accept() { state_ = State::awaitingSink; }
     // Bytes of the value, from the client.
@@ -71,6 +75,7 @@
     enum class State : std::uint8_t { inactive, discarding, awaitingSink, streaming, paused, delivered };
 
     void streamTo(BodySink& sink) override;
+    Nanos sentAfter() const override { return sentAfter_; }
     void resume() override;
     void cancel() override;
     void forward(std::string_view bytes);
@@ -81,6 +86,8 @@
     PipelinedRequest* request_ = nullptr;
     BodySink* sink_ = nullptr;  // receiver of the value; set while streaming or paused
     std::string buffered_;
+    Nanos sentAfter_ = 0;
+    bool wasReadingStopped_ = false;
     std::size_t bytesLeft_ = 0;  // bytes of the value that are not yet delivered
     bool isAllRead_ = false;
 };
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -199,8 +199,9 @@
     }
     extendTimeout();
     if (!isLast) return connection_.unsentBytes() > 0 ? FlowControl::full : FlowControl::ready;
+    const Nanos deadline = requestDeadline();
     requestBody_ = nullptr;
-    attempt_->onBodySent(transport::EventLoop::now());
+    attempt_->onBodySent(transport::EventLoop::now(), deadline);
     return FlowControl::ready;
 }
 
@@ -214,8 +215,14 @@
     if (requestBody_) requestBody_->resume();
 }
 
+// A server that takes a value slowly makes progress, but its client waits no longer for that.
 void UpstreamConnection::extendTimeout() {
-    attempt_->startTimeout(transport::EventLoop::now() + kBodyIdleTimeout);
+    const Nanos idleEnd = transport::EventLoop::now() + kBodyIdleTimeout;
+    attempt_->startTimeout(requestBody_ ? std::min(idleEnd, requestDeadline()) : idleEnd);
+}
+
+Nanos UpstreamConnection::requestDeadline() const {
+    return requestBody_->sentAfter() + attempt_->message().timeout;
 }
 
 void UpstreamConnection::becomeIdle() {
--- a/src/proxy/upstream_connection.hpp
+++ b/src/proxy/upstream_connection.hpp
@@ -108,6 +108,8 @@
     void setReservedBytes(std::size_t bytes);
     void releaseResponse();
     void extendTimeout();
+    // By when the client has to get the response to a write whose value is being sent.
+    Nanos requestDeadline() const;
 
     // Transitions.
     void becomeIdle();
