Count requests of clients with unread output as waiting, before they are forwarded

Change: a request counts as behind another one while output is unread, and responses are read as long as they fit the whole budget.

--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -177,7 +177,7 @@
 void ClientConnection::dispatch(PipelinedRequest& slot, protocol::Request request, Nanos arrivedAt,
                                 RequestBody* body) {
     slot.setDeadline(arrivedAt + request.timeout);
-    const bool isBehindAnother = !pipeline_.isFront(slot);
+    const bool isBehindAnother = !pipeline_.isFront(slot) || unsentBytes() > 0;
     const bool hasCapacity = !isBehindAnother || owner_.responseBudget().hasCapacity();
     const bool isShed = !hasCapacity && !owner_.mayHoldInput();
     if (isShed || !owner_.acceptsRequests(request.timeout))
@@ -260,7 +260,7 @@
 
 bool ClientConnection::lacksResponseCapacity() const {
     const bool isBetweenRequests = !decoder_.isInValue() && !write_.isActive();
-    return isBetweenRequests && !pipeline_.isEmpty() && !owner_.responseBudget().hasCapacity() &&
+    return isBetweenRequests && hasResponsesAhead() && !owner_.responseBudget().hasCapacity() &&
            owner_.mayHoldInput();
 }
 
--- a/src/proxy/client_connection.hpp
+++ b/src/proxy/client_connection.hpp
@@ -218,6 +218,8 @@
     bool isPipelineFull() const;
     // The next request would be behind another one, and there is no memory for its response.
     bool lacksResponseCapacity() const;
+    // The response to the next request has to wait for others, or for the client to read them.
+    bool hasResponsesAhead() const { return !pipeline_.isEmpty() || unsentBytes() > 0; }
     std::size_t unreadBytes() const;
     void updateUnreadSince();
     bool mayRead() const;
--- a/src/proxy/client_connection_responses.cpp
+++ b/src/proxy/client_connection_responses.cpp
@@ -165,7 +165,8 @@
     const ResponseUsage usage{.waitingBytes = waitingBytes,
                               .unreadBytes = unsentBytes() > 0 ? waitingBytes : 0,
                               .collectedBytes = pipeline_.collectedBytes(),
-                              .pendingRequests = pipeline_.awaitingBehindFront()};
+                              .pendingRequests = unsentBytes() > 0 ? pipeline_.awaiting()
+                                                                   : pipeline_.awaitingBehindFront()};
     owner_.responseBudget().update(reportedUsage_, usage);
     reportedUsage_ = usage;
 }
--- a/src/proxy/request_pipeline.hpp
+++ b/src/proxy/request_pipeline.hpp
@@ -55,7 +55,9 @@
     // Bytes of responses that have not been taken: those that are or were collected, and the others.
     std::size_t collectedBytes() const { return collectedBytes_; }
     std::size_t waitingBytes() const { return waitingBytes_; }
-    // Requests whose response is still to come, without the first request of the connection.
+    // Requests whose response is still to come.
+    std::size_t awaiting() const { return awaiting_; }
+    // The same without the first request of the connection.
     std::size_t awaitingBehindFront() const {
         const bool isFrontAwaiting = !requests_.empty() && requests_.front().isAwaiting();
         return isFrontAwaiting ? awaiting_ - 1 : awaiting_;
--- a/src/proxy/response_budget.hpp
+++ b/src/proxy/response_budget.hpp
@@ -61,7 +61,9 @@
     std::size_t incompleteBytes() const { return incompleteBytes_; }
     // Whether `bytes` more of incomplete responses may be read.
     bool mayRead(std::size_t bytes) const {
-        return !isNearlyExceeded() && incompleteBytes_ + bytes <= capacity_ / 2;
+        const bool isAwaitingClients = unreadBytes_ > capacity_ / kUnreadShareDivisor;
+        if (isAwaitingClients && waitingBytes_ + incompleteBytes_ + bytes > capacity_) return false;
+        return incompleteBytes_ + bytes <= capacity_ / 2;
     }
     // Whether waiting responses leave little memory for further ones, and clients that don't read are a cause
     // of it: responses that wait for an earlier one do so until that has been read from its server.
