Count and log why attempts end

Change: every attempt ends with an `AttemptEndReason`, set where it is ended. `AttemptEndLog` counts them (`attempts_ended` in the metrics on the operators' socket) and writes a line for each end without a complete response: request id, number of the attempt, server, reason, outcome, age, bytes of the response, time since the last of them. At most 10 lines a second, the rest is counted in the next line, so that a failing server does not displace other lines.

--- a/src/process/status_report.cpp
+++ b/src/process/status_report.cpp
@@ -151,6 +151,7 @@
                    {"links_opened", dispatcher.connectionsOpened()},
                    {"list_calls", watcher ? watcher->pollCount() : 0},
                    {"guard", dispatcher.guard().json()},
+                   {"attempts_ended", dispatcher.attemptEnds().json()},
                    {"caches_ready", readyCaches},
                    {"caches_listed", listedCaches},
                    {"memory_kb", residentMemoryKb()},
--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -12,6 +12,7 @@
       number_(parameters.number),
       message_(message),
       server_(server),
+      startedAt_(parameters.startedAt),
       deadline_(parameters.deadline),
       latestStart_(parameters.latestStart),
       sentAt_(parameters.startedAt),
@@ -20,6 +21,11 @@
 
 RequestBody* Attempt::takeBody() { return std::exchange(body_, nullptr); }
 
+void Attempt::onResponseBytes(std::size_t count, Nanos now) {
+    responseBytes_ += count;
+    lastResponseByteAt_ = now;
+}
+
 void Attempt::onBodySent(Nanos now, Nanos deadline) {
     sentAt_ = now;
     timeout_.start(deadline);
--- a/src/proxy/attempt.hpp
+++ b/src/proxy/attempt.hpp
@@ -4,6 +4,7 @@
 #include "base/time.hpp"
 #include "policy/types.hpp"
 #include "protocol/request.hpp"
+#include "proxy/attempt_end.hpp"
 #include "proxy/body_stream.hpp"
 #include "transport/event_loop.hpp"
 
@@ -37,6 +38,7 @@
     UpstreamServer& server() const { return server_; }
     Nanos deadline() const { return deadline_; }
     Nanos latestStart() const { return latestStart_; }
+    Nanos startedAt() const { return startedAt_; }
     // When the attempt was decided on or, for a streamed write, when its last byte was sent.
     Nanos sentAt() const { return sentAt_; }
     // When the first chunk of a streamed response arrived; 0 before that, and if it is not streamed.
@@ -51,6 +53,13 @@
     // The response is due by `deadline`.
     void onBodySent(Nanos now, Nanos deadline);
     void onFirstByte(Nanos arrivedAt) { firstByteAt_ = arrivedAt; }
+    // Bytes of the response have arrived.
+    void onResponseBytes(std::size_t count, Nanos now);
+    std::size_t responseBytes() const { return responseBytes_; }
+    Nanos lastResponseByteAt() const { return lastResponseByteAt_; }
+    // Why the attempt ended; to be set before `AttemptHandler::onAttemptEnded` is called.
+    AttemptEndReason endReason() const { return endReason_; }
+    void setEndReason(AttemptEndReason reason) { endReason_ = reason; }
     // Sets the timeout to the absolute time `at`, in place of an earlier one.
     void startTimeout(Nanos at) { timeout_.start(at); }
     void stopTimeout() { timeout_.stop(); }
@@ -60,10 +69,14 @@
     const int number_;
     const protocol::Request& message_;
     UpstreamServer& server_;
+    const Nanos startedAt_;
     const Nanos deadline_;
     const Nanos latestStart_;
     Nanos sentAt_;
     Nanos firstByteAt_ = 0;
+    std::size_t responseBytes_ = 0;
+    Nanos lastResponseByteAt_ = 0;
+    AttemptEndReason endReason_ = AttemptEndReason::responded;
     RequestBody* body_;
     UpstreamConnection* connection_ = nullptr;
     transport::Timer timeout_;
--- /dev/null
+++ b/src/proxy/attempt_end.cpp
@@ -0,0 +1,61 @@
+#include "proxy/attempt_end.hpp"
+
+#include <fmt/format.h>
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+
+#include "proxy/attempt.hpp"
+#include "proxy/upstream_server.hpp"
+
+namespace poppyscale::proxy {
+namespace {
+
+constexpr Nanos kLogInterval = 1'000 * kMillisecond;
+constexpr int kMaxLinesPerInterval = 10;
+
+// In the order of the enumeration; these are the keys of the JSON and appear in log lines.
+constexpr std::array<std::string_view, static_cast<std::size_t>(AttemptEndReason::count)> kReasonNames{
+    "responded",          "malformed_response",  "connect_failed",     "connection_lost",
+    "connection_timeout", "request_timeout",     "response_timeout",   "incomplete_response",
+    "stalled_response",   "client_disconnected", "server_unavailable", "deadline_passed"};
+
+std::string_view nameOf(AttemptEndReason reason) { return kReasonNames[static_cast<std::size_t>(reason)]; }
+
+}  // namespace
+
+void AttemptEndLog::record(const Attempt& attempt, std::string_view outcome, Nanos now) {
+    const AttemptEndReason reason = attempt.endReason();
+    ++counts_[static_cast<std::size_t>(reason)];
+    if (reason == AttemptEndReason::responded || !consumeAllowance(now)) return;
+    const std::uint64_t suppressed = std::exchange(suppressedLines_, 0);
+    const std::string note = suppressed ? fmt::format(" ({} such lines were suppressed)", suppressed) : "";
+    log_(
+        fmt::format("attempt ended: id={} number={} server={} reason={} outcome={} after_ms={} "
+                    "response_bytes={} silent_ms={}{}",
+                    attempt.message().id, attempt.number(), attempt.server().host(), nameOf(reason), outcome,
+                    (now - attempt.startedAt()) / kMillisecond, attempt.responseBytes(),
+                    attempt.responseBytes() ? (now - attempt.lastResponseByteAt()) / kMillisecond : 0, note));
+}
+
+bool AttemptEndLog::consumeAllowance(Nanos now) {
+    if (now >= intervalStart_ + kLogInterval) {
+        intervalStart_ = now;
+        linesInInterval_ = 0;
+    }
+    const bool isAllowed = linesInInterval_ < kMaxLinesPerInterval;
+    if (isAllowed)
+        ++linesInInterval_;
+    else
+        ++suppressedLines_;
+    return isAllowed;
+}
+
+nlohmann::json AttemptEndLog::json() const {
+    auto counts = nlohmann::json::object();
+    for (std::size_t i = 0; i < counts_.size(); ++i) counts[std::string(kReasonNames[i])] = counts_[i];
+    return counts;
+}
+
+}  // namespace poppyscale::proxy
--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -25,6 +25,30 @@
            outcome == AttemptOutcome::notExecuted;
 }
 
+std::string_view textOf(AttemptOutcome outcome) {
+    switch (outcome) {
+        case AttemptOutcome::succeeded:
+            return "succeeded";
+        case AttemptOutcome::failed:
+            return "failed";
+        case AttemptOutcome::timedOut:
+            return "timed_out";
+        case AttemptOutcome::connectionLost:
+            return "connection_lost";
+        case AttemptOutcome::notExecuted:
+            return "not_executed";
+        case AttemptOutcome::overloaded:
+            return "overloaded";
+        case AttemptOutcome::connectFailed:
+            return "connect_failed";
+        case AttemptOutcome::notSent:
+            return "not_sent";
+        case AttemptOutcome::cacheMiss:
+            return "cache_miss";
+    }
+    return "unknown";
+}
+
 ConnectionPool::Limits limitsOf(const protocol::StartupConfig& config, std::size_t maxConnections) {
     return {.maxConnections = maxConnections,
             .idleTimeout = idleTimeoutBefore(config.serverIdleTimeout),
@@ -39,6 +63,7 @@
     : loop_(loop),
       log_(std::move(log)),
       guard_(log_),
+      attemptEnds_(log_),
       responses_(config.memoryLimitBytes / kResponseMemoryDivisor),
       pool_(loop, buffers, *this, guard_, responses_, limitsOf(config, maxConnections)),
       maxOpenRequests_(config.maxOpenRequests),
@@ -361,6 +386,7 @@
     const Nanos respondedAt = firstByteAt ? firstByteAt : loop_.earliestArrival();
     const Nanos duration = std::max<Nanos>(respondedAt - attempt.sentAt(), 0);
     if (metrics_) metrics_->recordAttemptEnded(response.outcome, duration);
+    attemptEnds_.record(attempt, textOf(response.outcome), transport::EventLoop::now());
     if (mayHaveExecuted(response.outcome))
         request.firstPossiblyExecutedAt = std::min(request.firstPossiblyExecutedAt, attempt.sentAt());
     addEvent(transport::EventLoop::now(), AttemptEnded{{request.id, attempt.number(), response.outcome, false,
--- a/src/proxy/request_dispatcher.hpp
+++ b/src/proxy/request_dispatcher.hpp
@@ -17,6 +17,7 @@
 #include "protocol/endpoint_list.hpp"
 #include "protocol/request.hpp"
 #include "protocol/startup_config.hpp"
+#include "proxy/attempt_end.hpp"
 #include "proxy/attempt_handler.hpp"
 #include "proxy/connection_pool.hpp"
 #include "proxy/dispatcher_events.hpp"
@@ -103,6 +104,7 @@
     void enableMetrics(const std::vector<RequestClass>& requestClasses);
     metrics::RouterMetrics* metrics() { return metrics_.get(); }
     InvariantGuard& guard() { return guard_; }
+    const AttemptEndLog& attemptEnds() const { return attemptEnds_; }
     // Open requests keep the settings under which they were accepted.
     void applyConfig(const protocol::StartupConfig& config);
     // `memory` is the limit of the whole process, in bytes.
@@ -161,6 +163,7 @@
     transport::EventLoop& loop_;
     Log log_;
     InvariantGuard guard_;
+    AttemptEndLog attemptEnds_;
     ResponseBudget responses_;
     ConnectionPool pool_;
     std::size_t maxOpenRequests_;
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -53,7 +53,8 @@
                                     ", which is unusable or has another address, or after its deadline");
     const std::string head = codec_->encode(message, owner_.host(), timeLeft);
     // The request's last byte was not accepted, so the server can't have executed the request.
-    if (!connection_.write(head)) return breakOff(AttemptOutcome::connectFailed);
+    if (!connection_.write(head))
+        return breakOff(AttemptOutcome::connectFailed, AttemptEndReason::connectionLost);
     requestBody_ = attempt.takeBody();
     if (!requestBody_) return;
     requestBodyLeft_ = message.streamedLength;
@@ -83,7 +84,7 @@
 
 void UpstreamConnection::onConnectFailed() {
     Attempt* const waiting = owner_.takeNextWaiting();
-    removeAndEnd(waiting, AttemptOutcome::connectFailed);
+    removeAndEnd(waiting, AttemptOutcome::connectFailed, AttemptEndReason::connectFailed);
 }
 
 void UpstreamConnection::onTimer() {
@@ -97,6 +98,7 @@
     owner_.onActivity();
     // No request is in flight, so the bytes are no response.
     if (!attempt_) return owner_.remove(*this);
+    attempt_->onResponseBytes(bytes.size(), transport::EventLoop::now());
     using CodecState = UpstreamCodec::State;
     CodecState state = codec_->feed(bytes);
     while (state == CodecState::chunk) {
@@ -105,9 +107,9 @@
     }
     if (state == CodecState::complete) {
         auto response = codec_->takeResponse();
-        return endAttempt(std::move(response), codec_->isReusable());
+        return endAttempt(std::move(response), codec_->isReusable(), AttemptEndReason::responded);
     }
-    if (state == CodecState::malformed) return endAttempt({}, false);
+    if (state == CodecState::malformed) return endAttempt({}, false, AttemptEndReason::malformedResponse);
     reserveResponse();
 }
 
@@ -149,8 +151,9 @@
     // order: a response truncated by a reset would look like a complete, shorter one.
     if (attempt_ && isWritten() && connection_.hasPeerFinished() &&
         codec_->onConnectionEnd() == UpstreamCodec::State::complete)
-        return endAttempt(codec_->takeResponse(), false);
-    breakOff(isWritten() ? AttemptOutcome::connectionLost : AttemptOutcome::connectFailed);
+        return endAttempt(codec_->takeResponse(), false, AttemptEndReason::responded);
+    breakOff(isWritten() ? AttemptOutcome::connectionLost : AttemptOutcome::connectFailed,
+             AttemptEndReason::connectionLost);
 }
 
 bool UpstreamConnection::forwardChunk(std::size_t length, std::string_view bytes) {
@@ -162,7 +165,7 @@
     const FlowControl control = responseSink_ ? responseSink_->onChunk(bytes) : FlowControl::closed;
     if (control == FlowControl::closed) {
         responseSink_ = nullptr;
-        endAttempt({AttemptOutcome::succeeded, {}, false}, false);
+        endAttempt({AttemptOutcome::succeeded, {}, false}, false, AttemptEndReason::clientDisconnected);
         return false;
     }
     if (responseBodyLeft_ == 0) responseSink_ = nullptr;
@@ -183,7 +186,7 @@
 
 void UpstreamConnection::cancel() {
     responseSink_ = nullptr;
-    breakOff(AttemptOutcome::succeeded);
+    breakOff(AttemptOutcome::succeeded, AttemptEndReason::clientDisconnected);
 }
 
 FlowControl UpstreamConnection::onChunk(std::string_view bytes) {
@@ -194,7 +197,7 @@
     if (isWriteAccepted && isLast && !terminator.empty()) isWriteAccepted = connection_.write(terminator);
     if (!isWriteAccepted) {
         requestBody_ = nullptr;
-        breakOff(AttemptOutcome::connectFailed);
+        breakOff(AttemptOutcome::connectFailed, AttemptEndReason::connectionLost);
         return FlowControl::closed;
     }
     extendTimeout();
@@ -208,7 +211,7 @@
 // The client aborted the request body, which says nothing about the server.
 void UpstreamConnection::onAborted() {
     requestBody_ = nullptr;
-    breakOff(AttemptOutcome::notSent);
+    breakOff(AttemptOutcome::notSent, AttemptEndReason::clientDisconnected);
 }
 
 void UpstreamConnection::onDrained() {
@@ -238,7 +241,8 @@
     pool_.notifyCapacityFreed();
 }
 
-void UpstreamConnection::endAttempt(protocol::AttemptResponse response, bool isReusable) {
+void UpstreamConnection::endAttempt(protocol::AttemptResponse response, bool isReusable,
+                                    AttemptEndReason reason) {
     AttemptHandler& handler = pool_.handler();
     // If the response came before the whole request was written, it is unknown how much of the request
     // the server has read, so the connection is not reused.
@@ -251,20 +255,23 @@
         beginCooldown();
     else
         owner_.remove(*this);
+    attempt->setEndReason(reason);
     handler.onAttemptEnded(*attempt, std::move(response));
 }
 
-void UpstreamConnection::breakOff(AttemptOutcome outcome) {
+void UpstreamConnection::breakOff(AttemptOutcome outcome, AttemptEndReason reason) {
     Attempt* const attempt = releaseAttempt();
-    removeAndEnd(attempt, outcome);
+    removeAndEnd(attempt, outcome, reason);
 }
 
 // Callers detach `attempt` from the connection or the queue first: removing the connection lets the pool
 // open another one for each attempt that still waits.
-void UpstreamConnection::removeAndEnd(Attempt* attempt, AttemptOutcome outcome) {
+void UpstreamConnection::removeAndEnd(Attempt* attempt, AttemptOutcome outcome, AttemptEndReason reason) {
     AttemptHandler& handler = pool_.handler();
     owner_.remove(*this);
-    if (attempt) handler.onAttemptEnded(*attempt, {outcome, {}});
+    if (!attempt) return;
+    attempt->setEndReason(reason);
+    handler.onAttemptEnded(*attempt, {outcome, {}});
 }
 
 }  // namespace poppyscale::proxy
--- a/src/proxy/upstream_connection.hpp
+++ b/src/proxy/upstream_connection.hpp
@@ -115,11 +115,11 @@
     void becomeIdle();
     void beginCooldown();
     // Ends the attempt with a response. The connection cools down if it can be reused, else is removed.
-    void endAttempt(protocol::AttemptResponse response, bool isReusable);
+    void endAttempt(protocol::AttemptResponse response, bool isReusable, AttemptEndReason reason);
     // Removes the connection, and ends its attempt.
-    void breakOff(AttemptOutcome outcome);
+    void breakOff(AttemptOutcome outcome, AttemptEndReason reason);
     // Removes the connection, and ends `attempt`, which is not attached to it any more; null for none.
-    void removeAndEnd(Attempt* attempt, AttemptOutcome outcome);
+    void removeAndEnd(Attempt* attempt, AttemptOutcome outcome, AttemptEndReason reason);
 
     Owner& owner_;
     ConnectionPool& pool_;
--- a/src/proxy/upstream_server.cpp
+++ b/src/proxy/upstream_server.cpp
@@ -4,6 +4,20 @@
 #include <utility>
 
 namespace poppyscale::proxy {
+namespace {
+
+AttemptEndReason endReasonOf(BlockedAction action) {
+    switch (action) {
+        case BlockedAction::clientDisconnected:
+            return AttemptEndReason::clientDisconnected;
+        case BlockedAction::deadlinePassed:
+            return AttemptEndReason::deadlinePassed;
+        default:
+            return AttemptEndReason::serverUnavailable;
+    }
+}
+
+}  // namespace
 
 UpstreamServer::UpstreamServer(ConnectionPool& pool, bool isOrigin) : pool_(pool), isOrigin_(isOrigin) {
     pool_.addServer(*this);
@@ -42,7 +56,7 @@
     // Attempts that wait for a connection must not be sent to an unusable server.
     while (!waiting_.empty()) {
         Attempt& attempt = *takeNextWaiting();
-        endAttempt(attempt, AttemptOutcome::notSent);
+        endAttempt(attempt, AttemptOutcome::notSent, AttemptEndReason::serverUnavailable);
     }
 }
 
@@ -64,9 +78,10 @@
 void UpstreamServer::send(Attempt& attempt) {
     if (isEjected_) {
         pool_.guard().recordBlocked(BlockedAction::serverUnavailable);
-        return endAttempt(attempt, AttemptOutcome::notSent);
+        return endAttempt(attempt, AttemptOutcome::notSent, AttemptEndReason::serverUnavailable);
     }
-    if (!address_) return endAttempt(attempt, AttemptOutcome::connectFailed);
+    if (!address_)
+        return endAttempt(attempt, AttemptOutcome::connectFailed, AttemptEndReason::serverUnavailable);
     attempt.startTimeout(std::min(attempt.deadline(), attempt.latestStart()));
     waiting_.push_back(&attempt);
     ++attemptCount_;
@@ -93,7 +108,7 @@
     const auto reason = reasonToBlock(attempt);
     if (!reason) return connection.start(attempt);
     pool_.guard().recordBlocked(*reason);
-    endAttempt(attempt, AttemptOutcome::notSent);
+    endAttempt(attempt, AttemptOutcome::notSent, endReasonOf(*reason));
 }
 
 // Opens connections until one is being established for each waiting attempt. The first connection that
@@ -157,14 +172,21 @@
     if (!connection) {
         std::erase(waiting_, &attempt);
         return endAttempt(attempt,
-                          connectingCount() > 0 ? AttemptOutcome::connectFailed : AttemptOutcome::notSent);
+                          connectingCount() > 0 ? AttemptOutcome::connectFailed : AttemptOutcome::notSent,
+                          AttemptEndReason::connectionTimeout);
     }
     // The connection is closed before the attempt's end is reported: a retry must not start while this
     // attempt is in flight.
     AttemptOutcome outcome =
         connection->isWritten() ? AttemptOutcome::timedOut : AttemptOutcome::connectFailed;
+    AttemptEndReason reason =
+        connection->isWritten() ? AttemptEndReason::responseTimeout : AttemptEndReason::requestTimeout;
+    if (attempt.responseBytes() > 0) reason = AttemptEndReason::incompleteResponse;
     const bool isStreamStalled = attempt.firstByteAt() != 0;
-    if (isStreamStalled) outcome = AttemptOutcome::failed;
+    if (isStreamStalled) {
+        outcome = AttemptOutcome::failed;
+        reason = AttemptEndReason::stalledResponse;
+    }
     // The router stopped reading, which says nothing about the server.
     if (connection->isAwaitingRead()) outcome = AttemptOutcome::notExecuted;
     connection->releaseAttempt();
@@ -175,7 +197,7 @@
     // executed.
     if (lastActivity_ < attempt.sentAt())
         removeConnections([](const UpstreamConnection& candidate) { return candidate.isIdle(); });
-    endAttempt(attempt, outcome);
+    endAttempt(attempt, outcome, reason);
 }
 
 void UpstreamServer::withdraw(Attempt& attempt) {
@@ -188,10 +210,11 @@
         std::erase(waiting_, &attempt);
         closeSurplus();
     }
-    endAttempt(attempt, AttemptOutcome::notSent);
+    endAttempt(attempt, AttemptOutcome::notSent, AttemptEndReason::clientDisconnected);
 }
 
-void UpstreamServer::endAttempt(Attempt& attempt, AttemptOutcome outcome) {
+void UpstreamServer::endAttempt(Attempt& attempt, AttemptOutcome outcome, AttemptEndReason reason) {
+    attempt.setEndReason(reason);
     pool_.handler().onAttemptEnded(attempt, {outcome, {}});
 }
 
--- a/src/proxy/upstream_server.hpp
+++ b/src/proxy/upstream_server.hpp
@@ -38,6 +38,7 @@
     // An ejected server gets no attempts, whatever its state in the endpoint list is.
     void setEjected(bool ejected);
     bool isOrigin() const { return isOrigin_; }
+    const std::string& host() const override { return host_; }
     bool isUsable() const override { return state_ == EndpointState::ready && !isEjected_; }
     bool isDraining() const { return state_ == EndpointState::draining; }
     // Whether the server may be destroyed: removed from the list, without connections and attempts.
@@ -64,14 +65,13 @@
 
   private:
     const std::optional<transport::Address>& address() const override { return address_; }
-    const std::string& host() const override { return host_; }
     void onActivity() override { lastActivity_ = transport::EventLoop::now(); }
     Attempt* takeNextWaiting() override;
     void remove(UpstreamConnection& connection) override;
 
     // Why the request of a waiting attempt must not be written now; none if it may be.
     std::optional<BlockedAction> reasonToBlock(Attempt& attempt) const;
-    void endAttempt(Attempt& attempt, AttemptOutcome outcome);
+    void endAttempt(Attempt& attempt, AttemptOutcome outcome, AttemptEndReason reason);
     void startOn(UpstreamConnection& connection, Attempt& attempt);
     void openConnections();
     void closeStale();
