--- /dev/null
+++ b/tests/slow_response_test.cpp
@@ -0,0 +1,177 @@
+// Servers that begin a response and go on with it late or slowly, or stop in the middle of it.
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <list>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "fixtures.hpp"
+#include "server_threads.hpp"
+
+using namespace poppyscale;
+using namespace poppyscale::test;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+constexpr double kMaxLateness = 0.5;  // seconds after a request's timeout
+
+double secondsSince(Clock::time_point start) {
+    return std::chrono::duration<double>(Clock::now() - start).count();
+}
+
+enum class Framing : std::uint8_t { cacheServer, originWithLength, originWithoutLength };
+
+// How a server sends the value of a key.
+struct Pace {
+    std::size_t length = 0;
+    int pauseAfterHeadMs = 0;
+    std::size_t bytesPerSecond = 0;  // 0: all at once
+    std::size_t hangsAfter = 0;      // bytes after which nothing more is sent; 0: never hangs
+    bool hangsAfterHead = false;
+};
+
+// Sends the head at once and the value as `pace` says. Returns whether the router has taken all of it.
+bool sendPaced(Socket& socket, const Pace& pace, Framing framing) {
+    const std::string value(pace.length, 'v');
+    const std::string length = std::to_string(pace.length);
+    std::string rest = value;
+    if (framing == Framing::cacheServer) {
+        socket.send("*3\r\n$" + length + "\r\n");
+        rest += "\r\n$3\r\nhit\r\n$-1\r\n";
+    } else if (framing == Framing::originWithLength) {
+        socket.send("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n");
+    } else {
+        socket.send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+    }
+    usleep(static_cast<useconds_t>(pace.pauseAfterHeadMs) * 1'000);
+    if (pace.hangsAfterHead) {
+        usleep(4'000'000);
+        return false;
+    }
+    constexpr int kPieceMs = 20;
+    const std::size_t piece = pace.bytesPerSecond ? pace.bytesPerSecond * kPieceMs / 1'000 : rest.size();
+    for (std::size_t at = 0; at < rest.size(); at += piece) {
+        if (pace.hangsAfter && at >= pace.hangsAfter) {
+            usleep(4'000'000);
+            return false;
+        }
+        socket.send(std::string_view(rest).substr(at, piece));
+        if (pace.bytesPerSecond) usleep(kPieceMs * 1'000);
+        // The router sends nothing on this connection meanwhile, so what can be read is its end.
+        if (at + piece < rest.size() && !socket.isQuiet(0)) return false;
+    }
+    if (framing == Framing::originWithoutLength) socket.close();
+    return true;
+}
+
+// Cache servers that answer all keys at once except those that begin with "slow". The origin, which gets the
+// reads that `framing` directs there, does the same.
+class SlowServers {
+  public:
+    SlowServers(RouterFixture& fixture, Pace pace, Framing framing) : pace_(pace), framing_(framing) {
+        for (TestServer& cache : fixture.caches)
+            servers_.emplace_back(cache, [this](Socket& socket) { serveCache(socket); });
+        servers_.emplace_back(fixture.origin, [this](Socket& socket) { serveOrigin(socket); });
+    }
+    int cutResponses() const { return cutResponses_; }
+    int slowAttempts() const { return slowAttempts_; }
+
+  private:
+    void serveCache(Socket& socket) {
+        const auto words = socket.readCommand();
+        const bool isSlow = words.size() > 1 && words[1].starts_with("slow");
+        if (!isSlow) {
+            socket.send(hit("quick"));
+        } else if (framing_ == Framing::cacheServer) {
+            sendSlowly(socket);
+        } else {
+            socket.send(kMiss);
+        }
+    }
+    void serveOrigin(Socket& socket) {
+        const auto head = socket.readHead();
+        if (!head.empty()) sendSlowly(socket);
+    }
+    void sendSlowly(Socket& socket) {
+        ++slowAttempts_;
+        const bool isWhole = sendPaced(socket, pace_, framing_);
+        if (!isWhole) ++cutResponses_;
+    }
+
+    const Pace pace_;
+    const Framing framing_;
+    std::atomic<int> cutResponses_{0};
+    std::atomic<int> slowAttempts_{0};
+    std::list<ServerThreads> servers_;
+};
+
+// Lets the router learn the usual latency, after which it may end first attempts of reads early.
+void learnLatency(const RouterFixture& fixture) {
+    constexpr int kReads = 60;
+    Socket client = fixture.client();
+    for (int i = 0; i < kReads; ++i) {
+        client.send(get("warm" + std::to_string(i), "c=read,t=north,d=2000"));
+        CHECK(client.readResponse() == "quick");
+    }
+}
+
+std::string keyOf(int number) { return "slow" + std::to_string(number); }
+
+}  // namespace
+
+// Guards against a timeout for the wait for a response's head that still ends the attempt after the head.
+TEST_CASE("a read whose response has begun is not given up before its deadline") {
+    constexpr Pace kHeadThenPause{.length = 150'000, .pauseAfterHeadMs = 900};
+    constexpr Pace kShortHeadThenPause{.length = 20'000, .pauseAfterHeadMs = 900};
+    constexpr Pace kShortSlow{.length = 50'000, .bytesPerSecond = 40'000};
+    for (const Framing framing :
+         {Framing::cacheServer, Framing::originWithLength, Framing::originWithoutLength})
+        for (const Pace& pace : {kHeadThenPause, kShortHeadThenPause, kShortSlow}) {
+            if (framing == Framing::originWithoutLength && pace.length > 64 * 1024) continue;
+            CAPTURE(static_cast<int>(framing));
+            CAPTURE(pace.length);
+            CAPTURE(pace.pauseAfterHeadMs);
+            RouterFixture fixture(3);
+            SlowServers servers(fixture, pace, framing);
+            learnLatency(fixture);
+            Socket client = fixture.client();
+            client.send(get(keyOf(0), "c=read,t=north,d=2000"));
+            const std::size_t length = client.readResponse().size();
+            const std::string log = fixture.program.log();
+            CAPTURE(log);
+            CHECK(length == pace.length);
+            CHECK(servers.slowAttempts() == 1);
+            CHECK(servers.cutResponses() == 0);
+        }
+}
+
+// Guards against refusing requests whose response has begun, since no other server has capacity for them.
+TEST_CASE("no read of a crowd is refused after its response has begun") {
+    constexpr Pace kSlow{.length = 60'000, .bytesPerSecond = 40'000};
+    constexpr int kClients = 40, kReadsPerClient = 2;
+    RouterFixture fixture(7);
+    SlowServers servers(fixture, kSlow, Framing::cacheServer);
+    learnLatency(fixture);
+    std::atomic<int> delivered{0}, refused{0};
+    {
+        std::list<std::jthread> clients;
+        for (int number = 0; number < kClients; ++number)
+            clients.emplace_back([&, number] {
+                Socket client = fixture.client();
+                for (int i = 0; i < kReadsPerClient; ++i) {
+                    client.send(get(keyOf(number * kReadsPerClient + i), "c=read,t=north,d=2000"));
+                    const bool isDelivered = client.readResponse().size() == kSlow.length;
+                    ++(isDelivered ? delivered : refused);
+                }
+            });
+    }
+    const std::string log = fixture.program.log();
+    CAPTURE(log);
+    MESSAGE(delivered.load(), " delivered, ", refused.load(), " not, ", servers.slowAttempts(), " attempts");
+    CHECK(servers.cutResponses() == 0);
+    CHECK(log.find("reason=incomplete_response") == std::string::npos);
+}
