Limit each phase of an attempt by itself; pass on a response that is late but still arriving

Cause: an attempt had one timer. `RetryPolicy::attemptDeadline` set it for the wait for an answer, so that a hanging server is given up early, and nothing replaced it once the answer had begun: only the first chunk of a value over 64 KiB did. With its head there and its value late, or up to 64 KiB collected slowly, the attempt was ended after the early limit; the request then went to another server, or was refused since none had capacity. The trace: "reason=incomplete_response outcome=timed_out after_ms=250 response_bytes=13 silent_ms=250". At the request's own deadline the same timer ended answers of which every byte but the last was there. Change: `AttemptProgress` says for each phase (no connection, request being sent, awaiting the response, receiving it, passing it on) which limit holds; all places that set the timer now report a transition instead. From the first byte of the response the request's deadline holds. At that deadline a response is overdue: the next bytes of it are passed on with those before them, if its length is known (`RespDecoder::beginStream`, `HttpResponse::beginStream`), also where reading had stopped for want of memory. A server that sends nothing more costs no final response: 0.3 s after the deadline the attempt ends as before. Passing on is bounded by 5 s without a byte and, new, by 30 s and 1 s more for each KiB.

--- a/src/policy/policy_host.hpp
+++ b/src/policy/policy_host.hpp
@@ -13,9 +13,10 @@
     virtual ~PolicyHost() = default;
 
     // Sends the request to the server. The attempts of a request are numbered 0, 1, 2 ... in the order of
-    // these calls; each is ended by exactly one RoutingPolicy::onAttemptEnded. An attempt that has no
-    // response by `deadline` times out. One that is not written by `latestStart` must not be written at all,
-    // since its idempotency key may have been forgotten by then.
+    // these calls; each is ended by exactly one RoutingPolicy::onAttemptEnded. An attempt whose
+    // response has not begun by `deadline` times out; one that has begun has until the request's deadline.
+    // One that is not written by `latestStart` must not be written at all, since its idempotency key may have
+    // been forgotten by then.
     virtual void startAttempt(RequestId id, std::string_view server, Nanos deadline, Nanos latestStart) = 0;
     // Sends the final response: the request was not executed, and the client may retry after
     // `retryAfter`.
--- a/src/policy/retry_policy.hpp
+++ b/src/policy/retry_policy.hpp
@@ -47,10 +47,10 @@
     // Whether `server` has the retry credit for an attempt. Draws a random number only if credit is
     // needed.
     bool hasCredit(const Request& request, const Server& server, Random& random) const;
-    // The time at which an attempt that starts at `now` times out: the request's deadline, or earlier
-    // if another attempt would then still be of use. Only the first attempt of a safe request at a
-    // cache server times out earlier, once enough latencies are known and unless weights follow load.
-    // `totalLimiter`: the limiter over all cache servers.
+    // The time by which the response to an attempt that starts at `now` must have begun: the request's
+    // deadline, or earlier if another attempt would then still be of use. Only the first attempt of a safe
+    // request at a cache server times out earlier, once enough latencies are known and unless weights follow
+    // load. `totalLimiter`: the limiter over all cache servers.
     Nanos attemptDeadline(const Request& request, const Server& server, LatencyStatistics& statistics,
                           const ConcurrencyLimiter& totalLimiter, Nanos now) const;
 
--- a/src/proxy/attempt.hpp
+++ b/src/proxy/attempt.hpp
@@ -5,6 +5,7 @@
 #include "policy/types.hpp"
 #include "protocol/request.hpp"
 #include "proxy/attempt_end.hpp"
+#include "proxy/attempt_progress.hpp"
 #include "proxy/body_stream.hpp"
 #include "transport/event_loop.hpp"
 
@@ -14,15 +15,16 @@
 class UpstreamServer;
 
 // Owned by its request, which also owns the message and outlives the attempt. An attempt first waits for
-// a connection (`connection()` is null) and is then in flight on one. When the timeout fires,
-// `UpstreamServer::abandon` ends the attempt.
+// a connection (`connection()` is null) and is then in flight on one. `AttemptProgress` tells which time
+// limit holds; when it passes, `UpstreamServer::onTimeLimit` is called.
 class Attempt {
   public:
     struct Parameters {
         RequestId requestId = 0;
         int number = 0;               // the attempts of a request are numbered from 0
         Nanos startedAt = 0;          // when the attempt was decided on
-        Nanos deadline = 0;           // the response must be complete by then, unless a value is streamed
+        Nanos deadline = 0;           // the response must have begun by then
+        Nanos requestDeadline = 0;    // when the client needs its final response; not before `deadline`
         Nanos latestStart = kNever;   // the request must not be written after this
         RequestBody* body = nullptr;  // the value of a write if it is streamed
     };
@@ -43,6 +45,7 @@
     Nanos sentAt() const { return sentAt_; }
     // When the first chunk of a streamed response arrived; 0 before that, and if it is not streamed.
     Nanos firstByteAt() const { return firstByteAt_; }
+    const AttemptProgress& progress() const { return progress_; }
     // Null while the attempt waits for a connection.
     UpstreamConnection* connection() const { return connection_; }
 
@@ -50,19 +53,24 @@
     void detach() { connection_ = nullptr; }
     // Returns the value to stream; null if there is none, and from the second call on.
     RequestBody* takeBody();
-    // The response is due by `deadline`.
-    void onBodySent(Nanos now, Nanos deadline);
     void onFirstByte(Nanos arrivedAt) { firstByteAt_ = arrivedAt; }
-    // Bytes of the response have arrived.
-    void onResponseBytes(std::size_t count, Nanos now);
-    std::size_t responseBytes() const { return responseBytes_; }
-    Nanos lastResponseByteAt() const { return lastResponseByteAt_; }
+
+    // As the functions of `AttemptProgress`; the time limit is adjusted.
+    void onRequestBegun(bool isStreamed);
+    void onRequestPart(Nanos requestDeadline);
+    void onRequestSent(Nanos requestDeadline);
+    void onResponseBytes(std::size_t count);
+    void onForwarding(std::size_t length);
+    void pause();
+    void resume();
+
+    // Starts or adjusts the timer for the time limit of the present phase.
+    void startTimeout();
+    void stopTimeout() { timeout_.stop(); }
+
     // Why the attempt ended; to be set before `AttemptHandler::onAttemptEnded` is called.
     AttemptEndReason endReason() const { return endReason_; }
     void setEndReason(AttemptEndReason reason) { endReason_ = reason; }
-    // Sets the timeout to the absolute time `at`, in place of an earlier one.
-    void startTimeout(Nanos at) { timeout_.start(at); }
-    void stopTimeout() { timeout_.stop(); }
 
   private:
     const RequestId requestId_;
@@ -74,8 +82,7 @@
     const Nanos latestStart_;
     Nanos sentAt_;
     Nanos firstByteAt_ = 0;
-    std::size_t responseBytes_ = 0;
-    Nanos lastResponseByteAt_ = 0;
+    AttemptProgress progress_;
     AttemptEndReason endReason_ = AttemptEndReason::responded;
     RequestBody* body_;
     UpstreamConnection* connection_ = nullptr;
--- a/src/proxy/attempt_end.cpp
+++ b/src/proxy/attempt_end.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
@@ -17,9 +18,10 @@
 
 // In the order of the enumeration; these are the keys of the JSON and appear in log lines.
 constexpr std::array<std::string_view, static_cast<std::size_t>(AttemptEndReason::count)> kReasonNames{
-    "responded",          "malformed_response",  "connect_failed",     "connection_lost",
-    "connection_timeout", "request_timeout",     "response_timeout",   "incomplete_response",
-    "stalled_response",   "client_disconnected", "server_unavailable", "deadline_passed"};
+    "responded",          "malformed_response", "connect_failed",      "connection_lost",
+    "connection_timeout", "request_timeout",    "response_timeout",    "incomplete_response",
+    "stalled_response",   "cancelled",          "client_disconnected", "server_unavailable",
+    "deadline_passed"};
 
 std::string_view nameOf(AttemptEndReason reason) { return kReasonNames[static_cast<std::size_t>(reason)]; }
 
@@ -31,12 +33,14 @@
     if (reason == AttemptEndReason::responded || !consumeAllowance(now)) return;
     const std::uint64_t suppressed = std::exchange(suppressedLines_, 0);
     const std::string note = suppressed ? fmt::format(" ({} such lines were suppressed)", suppressed) : "";
+    const AttemptProgress& progress = attempt.progress();
+    const Nanos lastProgressAt = std::max(progress.lastProgressAt(), attempt.startedAt());
     log_(
         fmt::format("attempt ended: id={} number={} server={} reason={} outcome={} after_ms={} "
                     "response_bytes={} silent_ms={}{}",
                     attempt.message().id, attempt.number(), attempt.server().host(), nameOf(reason), outcome,
-                    (now - attempt.startedAt()) / kMillisecond, attempt.responseBytes(),
-                    attempt.responseBytes() ? (now - attempt.lastResponseByteAt()) / kMillisecond : 0, note));
+                    (now - attempt.startedAt()) / kMillisecond, progress.responseBytes(),
+                    (now - lastProgressAt) / kMillisecond, note));
 }
 
 bool AttemptEndLog::consumeAllowance(Nanos now) {
--- a/src/proxy/attempt_end.hpp
+++ b/src/proxy/attempt_end.hpp
@@ -25,6 +25,7 @@
     responseTimeout,     // no byte of the response arrived in time
     incompleteResponse,  // the response had begun, but was incomplete at the request's deadline
     stalledResponse,     // the rest of a response that was being passed on did not arrive
+    cancelled,           // no client takes the rest of a response that was being passed on
     clientDisconnected,  // the client has closed its connection, or failed to send its request
     serverUnavailable,   // the server was draining, removed, ejected or without an address
     deadlinePassed,      // no time was left when a connection became available
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -6,8 +6,6 @@
 namespace poppyscale::proxy {
 namespace {
 
-// An attempt with a streamed value fails when no byte of the value was transferred for this long.
-constexpr Nanos kBodyIdleTimeout = 5'000 * kMillisecond;
 // How late a second copy of a response may arrive without being taken for the next response.
 constexpr Nanos kCooldownDuration = 50 * kMillisecond;
 
@@ -40,8 +38,8 @@
 
 void UpstreamConnection::start(Attempt& attempt) {
     timer_.stop();
-    attempt.startTimeout(attempt.deadline());
     state_ = State::busy;
+    wasReadDelayed_ = false;
     attempt_ = &attempt;
     attempt.attach(*this);
     const protocol::Request& message = attempt.message();
@@ -56,9 +54,10 @@
     if (!connection_.write(head))
         return breakOff(AttemptOutcome::connectFailed, AttemptEndReason::connectionLost);
     requestBody_ = attempt.takeBody();
+    attempt.onRequestBegun(requestBody_ != nullptr);
     if (!requestBody_) return;
     requestBodyLeft_ = message.streamedLength;
-    extendTimeout();
+    attempt.onRequestPart(requestDeadline());
     requestBody_->streamTo(*this);
 }
 
@@ -98,7 +97,7 @@
     owner_.onActivity();
     // No request is in flight, so the bytes are no response.
     if (!attempt_) return owner_.remove(*this);
-    attempt_->onResponseBytes(bytes.size(), transport::EventLoop::now());
+    attempt_->onResponseBytes(bytes.size());
     using CodecState = UpstreamCodec::State;
     CodecState state = codec_->feed(bytes);
     while (state == CodecState::chunk) {
@@ -110,16 +109,34 @@
         return endAttempt(std::move(response), codec_->isReusable(), AttemptEndReason::responded);
     }
     if (state == CodecState::malformed) return endAttempt({}, false, AttemptEndReason::malformedResponse);
+    if (!forwardOverdue()) return;
     reserveResponse();
 }
 
+bool UpstreamConnection::forwardOverdue() {
+    if (!attempt_->progress().isOverdue(transport::EventLoop::now())) return true;
+    const auto begun = codec_->beginStream();
+    if (!begun) return true;
+    setReservedBytes(codec_->expectedBytes());
+    return forwardChunk(begun->length, begun->bytes);
+}
+
+void UpstreamConnection::onOverdue() {
+    if (!isAwaitingRead_) return;
+    pool_.cancelRead(*this);
+    isAwaitingRead_ = false;
+    connection_.setReading(true);
+}
+
 // Each response has its own size limit, but many incomplete responses together could exhaust the memory of a
 // small machine. A response that has its reservation can be read to its end, so that no two wait for each
 // other's memory. What has been read without one is counted all the same.
 void UpstreamConnection::reserveResponse() {
     const std::size_t expected = codec_->expectedBytes();
-    if (expected <= reservedBytes_ || tryRead()) return;
+    const bool isOverdue = attempt_->progress().isOverdue(transport::EventLoop::now());
+    if (isOverdue || expected <= reservedBytes_ || tryRead()) return;
     isAwaitingRead_ = true;
+    wasReadDelayed_ = true;
     connection_.setReading(false);
     pool_.awaitRead(*this);
 }
@@ -160,33 +177,32 @@
     if (attempt_->firstByteAt() == 0) {
         responseBodyLeft_ = length;
         responseSink_ = pool_.handler().onStreamBegins(*attempt_, length, *this);
+        attempt_->onForwarding(length);
     }
     responseBodyLeft_ -= bytes.size();
     const FlowControl control = responseSink_ ? responseSink_->onChunk(bytes) : FlowControl::closed;
     if (control == FlowControl::closed) {
         responseSink_ = nullptr;
-        endAttempt({AttemptOutcome::succeeded, {}, false}, false, AttemptEndReason::clientDisconnected);
+        endAttempt({AttemptOutcome::succeeded, {}, false}, false, AttemptEndReason::cancelled);
         return false;
     }
     if (responseBodyLeft_ == 0) responseSink_ = nullptr;
-    extendTimeout();
     if (control == FlowControl::full && responseSink_) {
-        // The client reads slowly. `ClientConnection` limits for how long it may do so, so the attempt's
-        // timeout is stopped.
+        // The client reads slowly. `ClientConnection` limits for how long it may do so.
         connection_.setReading(false);
-        attempt_->stopTimeout();
+        attempt_->pause();
     }
     return true;
 }
 
 void UpstreamConnection::resume() {
     connection_.setReading(true);
-    extendTimeout();
+    attempt_->resume();
 }
 
 void UpstreamConnection::cancel() {
     responseSink_ = nullptr;
-    breakOff(AttemptOutcome::succeeded, AttemptEndReason::clientDisconnected);
+    breakOff(AttemptOutcome::succeeded, AttemptEndReason::cancelled);
 }
 
 FlowControl UpstreamConnection::onChunk(std::string_view bytes) {
@@ -200,11 +216,11 @@
         breakOff(AttemptOutcome::connectFailed, AttemptEndReason::connectionLost);
         return FlowControl::closed;
     }
-    extendTimeout();
+    attempt_->onRequestPart(requestDeadline());
     if (!isLast) return connection_.unsentBytes() > 0 ? FlowControl::full : FlowControl::ready;
     const Nanos deadline = requestDeadline();
     requestBody_ = nullptr;
-    attempt_->onBodySent(transport::EventLoop::now(), deadline);
+    attempt_->onRequestSent(deadline);
     return FlowControl::ready;
 }
 
@@ -218,12 +234,6 @@
     if (requestBody_) requestBody_->resume();
 }
 
-// A server that takes a value slowly makes progress, but its client waits no longer for that.
-void UpstreamConnection::extendTimeout() {
-    const Nanos idleEnd = transport::EventLoop::now() + kBodyIdleTimeout;
-    attempt_->startTimeout(requestBody_ ? std::min(idleEnd, requestDeadline()) : idleEnd);
-}
-
 Nanos UpstreamConnection::requestDeadline() const {
     return requestBody_->sentAfter() + attempt_->message().timeout;
 }
--- a/src/proxy/upstream_connection.hpp
+++ b/src/proxy/upstream_connection.hpp
@@ -76,6 +76,11 @@
     Nanos idleSince() const { return idleSince_; }
     // Whether the rest of the response is not read for want of memory.
     bool isAwaitingRead() const { return isAwaitingRead_; }
+    // Whether reading of the response has stopped at some time for want of memory.
+    bool wasReadDelayed() const { return wasReadDelayed_; }
+    // The request's deadline has passed with an incomplete response: reads on, whether or not there is
+    // memory, since the next bytes are passed on.
+    void onOverdue();
     // Reads on if there is memory for the rest of the response; else returns false.
     bool tryRead();
 
@@ -107,7 +112,9 @@
     void reserveResponse();
     void setReservedBytes(std::size_t bytes);
     void releaseResponse();
-    void extendTimeout();
+    // Passes on what has arrived of an overdue response, if the rest of it can follow. False when the
+    // connection was removed.
+    bool forwardOverdue();
     // By when the client has to get the response to a write whose value is being sent.
     Nanos requestDeadline() const;
 
@@ -138,6 +145,7 @@
     Nanos idleSince_ = 0;
     std::size_t reservedBytes_ = 0;  // of an incomplete response
     bool isAwaitingRead_ = false;
+    bool wasReadDelayed_ = false;
 };
 
 }  // namespace poppyscale::proxy
--- a/src/proxy/upstream_server.cpp
+++ b/src/proxy/upstream_server.cpp
@@ -17,6 +17,24 @@
     }
 }
 
+struct TimedOut {
+    AttemptOutcome outcome;
+    AttemptEndReason reason;
+};
+
+// What the passing of the time limit of `phase` shows.
+TimedOut timedOutIn(AttemptPhase phase, const UpstreamConnection& connection) {
+    if (phase == AttemptPhase::forwardingResponse)
+        return {AttemptOutcome::failed, AttemptEndReason::stalledResponse};
+    // The router stopped reading, which says nothing about the server.
+    if (connection.wasReadDelayed())
+        return {AttemptOutcome::notExecuted, AttemptEndReason::incompleteResponse};
+    if (!connection.isWritten()) return {AttemptOutcome::connectFailed, AttemptEndReason::requestTimeout};
+    if (phase == AttemptPhase::receivingResponse)
+        return {AttemptOutcome::timedOut, AttemptEndReason::incompleteResponse};
+    return {AttemptOutcome::timedOut, AttemptEndReason::responseTimeout};
+}
+
 }  // namespace
 
 UpstreamServer::UpstreamServer(ConnectionPool& pool, bool isOrigin) : pool_(pool), isOrigin_(isOrigin) {
@@ -82,7 +100,7 @@
     }
     if (!address_)
         return endAttempt(attempt, AttemptOutcome::connectFailed, AttemptEndReason::serverUnavailable);
-    attempt.startTimeout(std::min(attempt.deadline(), attempt.latestStart()));
+    attempt.startTimeout();
     waiting_.push_back(&attempt);
     ++attemptCount_;
     serveWaiting();
@@ -167,7 +185,7 @@
     return attempt;
 }
 
-void UpstreamServer::abandon(Attempt& attempt) {
+void UpstreamServer::onTimeLimit(Attempt& attempt) {
     UpstreamConnection* const connection = attempt.connection();
     if (!connection) {
         std::erase(waiting_, &attempt);
@@ -175,29 +193,24 @@
                           connectingCount() > 0 ? AttemptOutcome::connectFailed : AttemptOutcome::notSent,
                           AttemptEndReason::connectionTimeout);
     }
-    // The connection is closed before the attempt's end is reported: a retry must not start while this
-    // attempt is in flight.
-    AttemptOutcome outcome =
-        connection->isWritten() ? AttemptOutcome::timedOut : AttemptOutcome::connectFailed;
-    AttemptEndReason reason =
-        connection->isWritten() ? AttemptEndReason::responseTimeout : AttemptEndReason::requestTimeout;
-    if (attempt.responseBytes() > 0) reason = AttemptEndReason::incompleteResponse;
-    const bool isStreamStalled = attempt.firstByteAt() != 0;
-    if (isStreamStalled) {
-        outcome = AttemptOutcome::failed;
-        reason = AttemptEndReason::stalledResponse;
-    }
-    // The router stopped reading, which says nothing about the server.
-    if (connection->isAwaitingRead()) outcome = AttemptOutcome::notExecuted;
-    connection->releaseAttempt();
-    remove(*connection);
+    if (attempt.progress().isExpired(transport::EventLoop::now())) return endTimedOut(attempt, *connection);
+    connection->onOverdue();
+    attempt.startTimeout();
+}
+
+// The connection is closed before the attempt's end is reported: a retry must not start while this attempt is
+// in flight.
+void UpstreamServer::endTimedOut(Attempt& attempt, UpstreamConnection& connection) {
+    const TimedOut end = timedOutIn(attempt.progress().phase(), connection);
+    connection.releaseAttempt();
+    remove(connection);
     // If the server sent no byte while the attempt was in flight, its machine may be cut off, which leaves
     // its connections open although nothing arrives on them. The idle ones are closed then: the next attempt
     // on a new connection fails as not executed, while on an old one it would time out and might have
     // executed.
     if (lastActivity_ < attempt.sentAt())
         removeConnections([](const UpstreamConnection& candidate) { return candidate.isIdle(); });
-    endAttempt(attempt, outcome, reason);
+    endAttempt(attempt, end.outcome, end.reason);
 }
 
 void UpstreamServer::withdraw(Attempt& attempt) {
--- a/tests/slow_response_test.cpp
+++ b/tests/slow_response_test.cpp
@@ -173,5 +173,70 @@
     CAPTURE(log);
     MESSAGE(delivered.load(), " delivered, ", refused.load(), " not, ", servers.slowAttempts(), " attempts");
     CHECK(servers.cutResponses() == 0);
+    CHECK(delivered == servers.slowAttempts());
     CHECK(log.find("reason=incomplete_response") == std::string::npos);
 }
+
+// Guards against a request without a final response in time, if its server stops in the middle of its
+// response.
+TEST_CASE("a read whose server hangs in the middle of its response is answered in time") {
+    constexpr double kTimeout = 0.8;
+    constexpr Pace kAfterHead{.length = 150'000, .hangsAfterHead = true};
+    constexpr Pace kAfterShortHead{.length = 20'000, .hangsAfterHead = true};
+    constexpr Pace kInShortValue{.length = 50'000, .bytesPerSecond = 200'000, .hangsAfter = 20'000};
+    for (const Framing framing :
+         {Framing::cacheServer, Framing::originWithLength, Framing::originWithoutLength})
+        for (const Pace& pace : {kAfterHead, kAfterShortHead, kInShortValue})
+            for (const bool hasRequestBehind : {false, true}) {
+                if (framing == Framing::originWithoutLength && pace.length > 64 * 1024) continue;
+                CAPTURE(static_cast<int>(framing));
+                CAPTURE(pace.length);
+                CAPTURE(hasRequestBehind);
+                RouterFixture fixture(3);
+                SlowServers servers(fixture, pace, framing);
+                learnLatency(fixture);
+                Socket client = fixture.client();
+                client.send(get(keyOf(0), "c=read,t=north,d=800"));
+                if (hasRequestBehind) client.send(get("behind", "c=read,t=north,d=1500"));
+                const auto sentAt = Clock::now();
+                CHECK(client.readResponse().starts_with("-"));
+                CHECK(secondsSince(sentAt) < kTimeout + kMaxLateness);
+                if (hasRequestBehind) CHECK(client.readResponse() == "quick");
+                CHECK(client.send(array({"PING"})).readResponse() == "+PONG");
+            }
+}
+
+// Guards against cutting off a short response that its server is still sending at the request's deadline.
+TEST_CASE("a short response that its server writes slowly beyond the deadline is delivered whole") {
+    constexpr Pace kSteady{.length = 40'000, .bytesPerSecond = 20'000};
+    constexpr Pace kLateBody{.length = 150'000, .pauseAfterHeadMs = 1'000, .bytesPerSecond = 200'000};
+    for (const Framing framing : {Framing::cacheServer, Framing::originWithLength})
+        for (const Pace& pace : {kSteady, kLateBody})
+            for (const bool hasRequestBehind : {false, true}) {
+                CAPTURE(static_cast<int>(framing));
+                CAPTURE(pace.length);
+                CAPTURE(hasRequestBehind);
+                RouterFixture fixture(3);
+                SlowServers servers(fixture, pace, framing);
+                learnLatency(fixture);
+                Socket client = fixture.client();
+                client.send(get(keyOf(0), "c=read,t=north,d=800"));
+                if (hasRequestBehind) client.send(get("behind", "c=read,t=north,d=1500"));
+                CHECK(client.readResponse() == std::string(pace.length, 'v'));
+                if (hasRequestBehind) CHECK(client.readResponse() == "quick");
+                CHECK(client.send(array({"PING"})).readResponse() == "+PONG");
+                CHECK(servers.cutResponses() == 0);
+            }
+}
+
+// Without a length nothing of a response can be passed on before its end.
+TEST_CASE("a response without a length that is incomplete after the deadline is answered in time") {
+    constexpr Pace kSteady{.length = 40'000, .bytesPerSecond = 20'000};
+    RouterFixture fixture(3);
+    SlowServers servers(fixture, kSteady, Framing::originWithoutLength);
+    Socket client = fixture.client();
+    client.send(get(keyOf(0), "c=read,t=north,d=800"));
+    const auto sentAt = Clock::now();
+    CHECK(client.readResponse().starts_with("-"));
+    CHECK(secondsSince(sentAt) < 0.8 + kMaxLateness);
+}
