Count the time in which the router does not read a response as no silence of its server

Seen by callers: of two long values that a client asks for at once, with a request behind them, the second was failed, although its server had begun it in time. Cause: a response behind another one is not read until its turn. When the turn came after the request's deadline, the limit for a collected response (its deadline, or later if bytes had come within 250 ms) was measured from the last bytes before the router had stopped reading. Change: a collected response has until 0.3 s after its deadline or after its turn, whichever is later, and from its deadline on the next bytes that arrive are passed on. Without memory to collect it, an overdue one is passed on at once rather than failed. The limit is the one of `AttemptProgress`, in place of one of its own.

--- a/src/proxy/client_connection_responses.cpp
+++ b/src/proxy/client_connection_responses.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "protocol/client_response.hpp"
+#include "proxy/attempt_progress.hpp"
 #include "proxy/client_connection.hpp"
 
 namespace poppyscale::proxy {
@@ -13,8 +14,6 @@
 constexpr std::size_t kMaxWriteBytes = 64 * 1024;
 // How long a streamed value waits for memory in which to be collected. Requests behind it wait as well.
 constexpr Nanos kMaxMemoryWait = 200 * kMillisecond;
-// A server whose last bytes are no older is sending: what it sends slowly is passed on, not cut off.
-constexpr Nanos kMaxChunkGap = 250 * kMillisecond;
 // What a streamed value counts as, when the memory for a response is estimated.
 constexpr std::size_t kStreamedResponseBytes = 64 * 1024;
 
@@ -64,6 +63,9 @@
     BodySource* const source = request.takeSource();
     markActive();
     if (pipeline_.isFront(request)) decideDelivery(request);
+    // Its server is still sending at its deadline, so that it is passed on rather than cut off.
+    const bool isOverdue = request.isCollected() && transport::EventLoop::now() >= request.deadline();
+    if (isOverdue) pipeline_.stopCollecting(request);
     if (!request.isStreaming()) {
         flush();
         return FlowControl::closed;
@@ -80,7 +82,7 @@
         const Existence existence = write(bytes);
         if (existence == Existence::destroyed) return FlowControl::closed;
     }
-    const bool isLast = request.countStreamed(bytes.size(), transport::EventLoop::now());
+    const bool isLast = request.countStreamed(bytes.size());
     if (isLast) append(request, protocol::kBulkTerminator);
     const Existence existence = tryFlush();
     if (existence == Existence::destroyed) return FlowControl::closed;
@@ -105,15 +107,20 @@
 // lost. With requests behind it, the response is collected first.
 void ClientConnection::decideDelivery(PipelinedRequest& front) {
     if (!front.isUndecided()) return;
-    if (isOnlyRequest()) return front.deliverDirectly();
-    if (!owner_.responseBudget().mayCollect(front.collectableBytes())) {
+    const Nanos now = transport::EventLoop::now();
+    const bool mayCollect = owner_.responseBudget().mayCollect(front.collectableBytes());
+    const bool isOverdue = now >= front.deadline();
+    if (isOnlyRequest() || (isOverdue && !mayCollect)) return front.deliverDirectly();
+    if (!mayCollect) {
         if (!mayAwaitMemory(front)) return fail(front);
         collectTimer_.start(front.memoryWaitEnd());
         return awaitMemory();
     }
     pipeline_.collect(front);
     reportUsage();
-    collectTimer_.start(front.deadline());
+    // The time in which the response was not read, since it was behind another one, does not count.
+    front.setCollectEnd(std::max(front.deadline(), now) + kFinalResponseGrace);
+    collectTimer_.start(front.collectEnd());
 }
 
 bool ClientConnection::mayAwaitMemory(PipelinedRequest& front) {
@@ -132,16 +139,9 @@
 void ClientConnection::onCollectTimeout() {
     PipelinedRequest* const front = pipeline_.streamingFront();
     if (!front || front->isDirect()) return;
-    const Nanos end = front->isUndecided() ? front->memoryWaitEnd() : front->deadline();
-    const Nanos now = transport::EventLoop::now();
-    if (end == 0 || now < end) return;
-    const bool isArriving = front->isCollected() && now - front->lastChunkAt() < kMaxChunkGap;
-    if (isArriving) {
-        pipeline_.stopCollecting(*front);
-        reportUsage();
-    } else {
-        fail(*front);
-    }
+    const Nanos end = front->isUndecided() ? front->memoryWaitEnd() : front->collectEnd();
+    if (end == 0 || transport::EventLoop::now() < end) return;
+    fail(*front);
     flush();
 }
 
--- a/src/proxy/pipelined_request.cpp
+++ b/src/proxy/pipelined_request.cpp
@@ -12,8 +12,7 @@
     unsent_ = text;
 }
 
-bool PipelinedRequest::countStreamed(std::size_t size, Nanos now) {
-    lastChunkAt_ = now;
+bool PipelinedRequest::countStreamed(std::size_t size) {
     streamedBytesLeft_ -= size;
     const bool isLast = streamedBytesLeft_ == 0;
     if (isLast) state_ = State::complete;
--- a/src/proxy/pipelined_request.hpp
+++ b/src/proxy/pipelined_request.hpp
@@ -58,8 +58,9 @@
     bool isCollected() const { return delivery_ == Delivery::collected; }
     // Delivers what is collected, and passes on the rest as it arrives.
     void stopCollecting();
-    // When the last bytes of a streamed response arrived.
-    Nanos lastChunkAt() const { return lastChunkAt_; }
+    // By when a collected response has to be complete or to go on arriving; 0 for other responses.
+    Nanos collectEnd() const { return collectEnd_; }
+    void setCollectEnd(Nanos end) { collectEnd_ = end; }
     // What the response takes of the memory once it is collected.
     std::size_t collectableBytes() const;
     // By when the client has to get the final response; a time of the event loop's clock.
@@ -88,7 +89,7 @@
     void replaceResponse(std::string_view text);
 
     // Counts `size` more bytes of a streamed response. Returns whether they are the last ones.
-    bool countStreamed(std::size_t size, Nanos now);
+    bool countStreamed(std::size_t size);
     // Detaches the source during a call that may destroy this request, so that it is not cancelled.
     BodySource* takeSource();
     // Attaches the source again. `isPaused` says whether it was told that the sink is full.
@@ -120,7 +121,7 @@
     bool closesConnection_ = false;
     BodySource* source_ = nullptr;
     std::size_t streamedBytesLeft_ = 0;
-    Nanos lastChunkAt_ = 0;
+    Nanos collectEnd_ = 0;
     std::size_t reservedBytes_ = 0;
     bool isSourcePaused_ = false;
 };
--- a/tests/slow_response_test.cpp
+++ b/tests/slow_response_test.cpp
@@ -240,3 +240,16 @@
     CHECK(client.readResponse().starts_with("-"));
     CHECK(secondsSince(sentAt) < 0.8 + kMaxLateness);
 }
+
+// Guards against counting the time in which the router did not read a response as its server's silence.
+TEST_CASE("a long response is delivered that waited unread behind an earlier one until after its deadline") {
+    constexpr Pace kSlow{.length = 300'000, .bytesPerSecond = 150'000};
+    RouterFixture fixture(3);
+    SlowServers servers(fixture, kSlow, Framing::cacheServer);
+    Socket client = fixture.client();
+    client.send(get(keyOf(0), "c=read,t=north,d=1900") + get(keyOf(1), "c=read,t=north,d=900") +
+                get("behind", "c=read,t=north,d=1900"));
+    CHECK(client.readResponse().size() == kSlow.length);
+    CHECK(client.readResponse().size() == kSlow.length);
+    CHECK(client.readResponse() == "quick");
+}
