Slow clients down that write long requests while memory is short, and close none that writes

Seen by callers: connections closed, or "no memory is left for incomplete commands", in the middle of a request that they were writing. Cause: incomplete requests of all clients together were limited by closing the least recently active ones. Nothing kept clients from sending more than fits, so with some hundred of them most were closed, again and again, while the process was far below its limit. Change: `RequestBudget`. A request that has announced more than 4 KiB is read on only with a reservation for all of it; without one the connection is not read, in the order of arrival, so that its client is slowed down by TCP. A request that the kernel has completely goes first: it needs its memory for a moment, and its client's timeout is running. A waiting client that has sent nothing for 2.5 s gets its error as one that is read does; the time spent waiting does not count against one that sends. Closing remains as a last resort at four times the reservable memory, for what a connection may hold without a reservation.

--- a/src/protocol/resp.hpp
+++ b/src/protocol/resp.hpp
@@ -72,6 +72,8 @@
         return (bulkBytesLeft_ || streamedLength_) && openArrays_.size() == 1 &&
                openArrays_[0].array.items.size() == limits_.streamedItem;
     }
+    // Whether the item that is being buffered is the last one of the outermost array.
+    bool isInLastItem() const { return openArrays_.size() == 1 && openArrays_[0].itemsLeft == 1; }
     // The number of buffered bytes of an incomplete value.
     std::size_t bufferedBytes() const { return bufferedBytes_; }
     // These and the rest of the bulk string that is being buffered.
--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -22,6 +22,8 @@
 // Without the second limit, a few bytes a second could occupy a connection indefinitely.
 constexpr Nanos kBodyIdleTimeout = 2'000 * kMillisecond;
 constexpr Nanos kMaxNanosPerBodyByte = 1'000'000'000 / (32 * 1024);
+// How often it is checked whether a client still sends whose request waits for memory.
+constexpr Nanos kReservationCheckInterval = 50 * kMillisecond;
 // How long a client may leave a streamed response unread, since that occupies an upstream
 // connection.
 constexpr Nanos kMaxStreamUnreadDuration = 10'000 * kMillisecond;
@@ -99,7 +101,10 @@
     }
     const Nanos now = transport::EventLoop::now();
     const Nanos idleTime = now - lastReadAt_;
-    lastReadAt_ = now;
+    // What the kernel had before reading resumed has arrived earlier.
+    const bool isNew = unreadAtLastCheck_ == 0;
+    unreadAtLastCheck_ -= std::min(unreadAtLastCheck_, bytes.size());
+    if (isNew) lastReadAt_ = now;
     if (readIteration_ != owner_.iteration()) readInIteration_ = 0;
     readIteration_ = owner_.iteration();
     readInIteration_ += bytes.size();
@@ -216,6 +221,57 @@
     }
     owner_.updatePartialRequestBytes(reportedPartialBytes_, bytes);
     reportedPartialBytes_ = bytes;
+    updateReservation();
+}
+
+void ClientConnection::updateReservation() {
+    const std::size_t wanted = wantedReservation();
+    RequestBudget& budget = owner_.requestBudget();
+    if (wanted <= reservedRequestBytes_) {
+        if (isAwaitingReservation()) budget.cancel(*this);
+        awaitedReservation_ = 0;
+        budget.release(reservedRequestBytes_ - wanted);
+        reservedRequestBytes_ = wanted;
+        return;
+    }
+    if (isAwaitingReservation()) return;
+    const std::size_t missing = wanted - reservedRequestBytes_;
+    if (budget.tryReserve(missing)) {
+        reservedRequestBytes_ = wanted;
+        return;
+    }
+    awaitedReservation_ = missing;
+    budget.await(*this, missing);
+    lastUnreadArrivalAt_ = transport::EventLoop::now();
+    unreadAtLastCheck_ = 0;
+    checkUnread();
+}
+
+// Before the last item the length of the request is not known, so the longest one is reserved: a reservation
+// that grew while others wait could wait for them.
+std::size_t ClientConnection::wantedReservation() const {
+    const bool isIncomplete = state_ == State::open && decoder_.isInValue() && !write_.isActive();
+    if (!isIncomplete || decoder_.expectedBytes() <= RequestBudget::kUnreservedBytes) return 0;
+    return decoder_.isInLastItem() ? decoder_.expectedBytes() : kRequestLimits.maxValueSize;
+}
+
+void ClientConnection::onReservationGranted() {
+    reservedRequestBytes_ += std::exchange(awaitedReservation_, 0);
+    owner_.deferReading(*this);
+}
+
+// The rest of a request fits in the kernel's receive buffer, so a client that is not read can send all of it.
+void ClientConnection::checkUnread() {
+    const Nanos now = transport::EventLoop::now();
+    const std::size_t missing = decoder_.expectedBytes() - decoder_.bufferedBytes();
+    const std::size_t unread = connection_.unreadBytes();
+    if (unread > unreadAtLastCheck_) lastUnreadArrivalAt_ = now;
+    unreadAtLastCheck_ = unread;
+    reservationCheckAt_ = now + kReservationCheckInterval;
+    const bool isComplete = unread + unparsed_.size() >= missing;
+    const bool isGranted =
+        isComplete && owner_.requestBudget().tryReserveComplete(*this, awaitedReservation_);
+    if (isGranted) onReservationGranted();
 }
 
 // ---- A write that is being streamed
@@ -271,7 +327,7 @@
 }
 
 bool ClientConnection::mayRead() const {
-    return !isPipelineFull() && !write_.isBlocked() && unparsed_.isEmpty();
+    return !isPipelineFull() && !write_.isBlocked() && unparsed_.isEmpty() && !isAwaitingReservation();
 }
 
 // The end of the stream is behind the bytes before it, and stays on the client's machine if these exceed the
@@ -286,11 +342,13 @@
     const bool isReadable = state_ == State::open && !pipeline_.isStreaming();
     const bool isAllowed = isReadable && mayRead();
     const bool isReadAhead = isReadable && !isAllowed && mayReadAhead();
-    // The time during which the connection was not read does not count against the client.
+    // The time during which the connection was not read does not count against the client, unless it has sent
+    // nothing meanwhile.
     if (isAllowed && !isReadingAllowed_ && requestBegunAt_) {
-        lastReadAt_ = transport::EventLoop::now();
+        lastReadAt_ = lastUnreadArrivalAt_ ? lastUnreadArrivalAt_ : transport::EventLoop::now();
         requestBegunAt_ = lastReadAt_;
     }
+    if (isAllowed) lastUnreadArrivalAt_ = 0;
     isReadingAllowed_ = isAllowed;
     // Each connection has a share of an iteration, so that a client that sends at full speed does
     // not delay the others.
@@ -308,6 +366,7 @@
 void ClientConnection::updateTimer() {
     const bool hasUnsent = unsentBytes() > 0;
     updateUnreadSince();
+    if (isAwaitingReservation()) return timer_.start(reservationCheckAt_);
     if (requestBegunAt_ && isReadingAllowed_) return timer_.start(requestReadDeadline());
     if (!hasUnsent) return timer_.stop();
     Nanos maxUnreadDuration = owner_.maxUnreadDuration();
@@ -339,6 +398,7 @@
 
 void ClientConnection::onTimer() {
     if (state_ == State::lingering) return owner_.remove(*this);
+    if (isAwaitingReservation()) return onReservationCheck();
     if (!requestBegunAt_ || !isReadingAllowed_) {
         // A client that reads slowly is not removed as long as it has read something since the last
         // check.
@@ -349,8 +409,21 @@
         return owner_.remove(*this);
     }
     if (!decoder_.isInValue()) return owner_.remove(*this);
+    endIncompleteRequest();
+}
+
+void ClientConnection::onReservationCheck() {
+    checkUnread();
+    const bool hasStopped = lastUnreadArrivalAt_ + kRequestReadTimeout <= transport::EventLoop::now();
+    if (isAwaitingReservation() && hasStopped) return endIncompleteRequest();
+    updateTimer();
+}
+
+void ClientConnection::endIncompleteRequest() {
     replyAndClose(protocol::requestTimeoutResponse());
     abandonStreamedWrite();
+    unparsed_.clear();
+    reportPartialRequest();
     flush();
 }
 
--- a/src/proxy/client_connection.hpp
+++ b/src/proxy/client_connection.hpp
@@ -14,6 +14,7 @@
 #include "proxy/held_input.hpp"
 #include "proxy/peer_liveness.hpp"
 #include "proxy/pipelined_request.hpp"
+#include "proxy/request_budget.hpp"
 #include "proxy/request_dispatcher.hpp"
 #include "proxy/request_pipeline.hpp"
 #include "proxy/response_budget.hpp"
@@ -25,8 +26,9 @@
 namespace poppyscale::proxy {
 
 // Reads requests, passes them to the dispatcher, and writes the responses. Stops reading while too
-// many requests or response bytes are outstanding, holds back requests that were read while there is no
-// memory for their responses, and removes itself when the client exceeds a time limit.
+// many requests or response bytes are outstanding, or while there is no memory for the rest of a request;
+// holds back requests that were read while there is no memory for their responses; and removes itself when
+// the client exceeds a time limit.
 //
 //     open --> closing --> lingering
 //
@@ -58,6 +60,8 @@
         virtual void onActive(ClientConnection& connection) = 0;
         // The client has sent its first valid request.
         virtual void onFirstValidRequest() = 0;
+        // The budget for the incomplete requests of all connections.
+        virtual RequestBudget& requestBudget() = 0;
         // The budget for the responses of all connections.
         virtual ResponseBudget& responseBudget() = 0;
         // Whether requests may wait for that budget; else they are rejected.
@@ -102,6 +106,9 @@
     void continueReading();
     // Continues what has waited for memory in the next iteration.
     void onMemoryReleased();
+    // The request budget has reserved the memory that the connection waits for. Reads on in the next
+    // iteration.
+    void onReservationGranted();
 
     // No request is outstanding, incomplete or unread, so that closing the connection loses
     // nothing.
@@ -133,6 +140,8 @@
     // incomplete or held requests.
     const ResponseUsage& responseUsage() const { return reportedUsage_; }
     std::size_t partialRequestBytes() const { return reportedPartialBytes_; }
+    // What the connection has reserved of the request budget.
+    std::size_t reservedRequestBytes() const { return reservedRequestBytes_; }
     // Whether the bytes of requests are held until earlier ones are answered.
     bool holdsInput() const { return !unparsed_.isEmpty(); }
 
@@ -177,6 +186,14 @@
     void markValidRequestSent();
     void markActive();
     void reportPartialRequest();
+    // Reserves memory for the incomplete request, or releases it after the request's end. Without memory
+    // nothing is read until there is some.
+    void updateReservation();
+    std::size_t wantedReservation() const;
+    bool isAwaitingReservation() const { return awaitedReservation_ > 0; }
+    // Reserves the memory that is waited for if the kernel has all of the request. Else notes whether the
+    // client has sent something since the last check.
+    void checkUnread();
 
     // Responses.
     // Decides whether the streamed response of the first request is delivered directly or collected. An
@@ -212,7 +229,8 @@
     // Reading and time.
     // The rest of the input must not be parsed yet.
     bool holdsBackInput() const {
-        return write_.holdsBackInput() || isPipelineFull() || lacksResponseCapacity();
+        return write_.holdsBackInput() || isPipelineFull() || lacksResponseCapacity() ||
+               isAwaitingReservation();
     }
     // Too many requests, or response bytes that the client does not read, are outstanding.
     bool isPipelineFull() const;
@@ -226,6 +244,8 @@
     bool mayReadAhead() const;
     void updateReading();
     void updateTimer();
+    void onReservationCheck();
+    void endIncompleteRequest();
     Nanos requestReadDeadline() const;
     bool isIdle() const {
         return !hasOutstandingResponses() && !decoder_.isInValue() && state_ == State::open;
@@ -266,6 +286,12 @@
     std::uint64_t acknowledgedBytesAtLastCheck_ = 0;
     ResponseUsage reportedUsage_;
     std::size_t reportedPartialBytes_ = 0;
+    std::size_t reservedRequestBytes_ = 0;
+    std::size_t awaitedReservation_ = 0;  // what the connection waits for; 0 if it does not wait
+    Nanos reservationCheckAt_ = 0;        // when it is checked next whether the waiting client still sends
+    std::size_t unreadAtLastCheck_ = 0;   // bytes that the kernel had then, and that are not read yet
+    // When the client last sent something while the connection waited; 0 if it did not wait.
+    Nanos lastUnreadArrivalAt_ = 0;
 };
 
 }  // namespace poppyscale::proxy
--- a/src/proxy/client_listener.cpp
+++ b/src/proxy/client_listener.cpp
@@ -27,6 +27,8 @@
 // How long a client may read nothing of its responses while memory for responses is short.
 constexpr Nanos kMaxStallDuration = 2'500 * kMillisecond;
 constexpr Nanos kStallCheckInterval = 100 * kMillisecond;
+// Connections are closed for the memory of their requests above this multiple of what may be reserved.
+constexpr std::size_t kMaxPartialRequestsFactor = 4;
 
 }  // namespace
 
@@ -39,6 +41,7 @@
       maxClients_(maxClients),
       maxPartialRequestBytes_(maxPartialRequestBytes),
       maxUnreadDuration_(maxUnreadDuration),
+      requestBudget_(maxPartialRequestBytes),
       listener_(
           std::make_unique<transport::Listener>(loop, [this](const auto& finish) { onAccept(finish); })),
       wakeup_(loop, [] {}) {
@@ -68,6 +71,7 @@
 void ClientListener::setLimits(std::size_t maxClients, std::size_t maxPartialRequestBytes) {
     maxClients_ = maxClients;
     maxPartialRequestBytes_ = maxPartialRequestBytes;
+    requestBudget_.setCapacity(maxPartialRequestBytes);
 }
 
 void ClientListener::runIteration() {
@@ -77,6 +81,7 @@
     closeAboveIdleShare();
     closeStalled();
     wakeMemoryWaiters();
+    admitRequests();
     readDeferred();
 }
 
@@ -129,6 +134,8 @@
 void ClientListener::onDestroyed(ClientConnection& client) {
     responseBudget().update(client.responseUsage(), {});
     updatePartialRequestBytes(client.partialRequestBytes(), 0);
+    requestBudget_.cancel(client);
+    requestBudget_.release(client.reservedRequestBytes());
     if (client.hasSentValidRequest()) --clientsWithValidRequest_;
     std::erase(deferred_, &client);
     std::erase(awaitingMemory_, &client);
@@ -197,9 +204,14 @@
         deferred_.pop_front();
         client->continueReading();
     }
+    admitRequests();
     if (!deferred_.empty()) wakeup_.start(transport::EventLoop::now());
 }
 
+void ClientListener::admitRequests() {
+    while (ClientConnection* const client = requestBudget_.admitNext()) client->onReservationGranted();
+}
+
 // A connection that still lacks memory registers again.
 void ClientListener::wakeMemoryWaiters() {
     const bool isReleased = responseBudget().takeReleased();
@@ -260,9 +272,10 @@
     return client != clients_.end() ? client : std::find_if(clients_.begin(), clients_.end(), isIncomplete);
 }
 
-// Without this limit, the memory could be filled by clients that leave requests incomplete.
+// A last resort: beside the reservations each connection may have read one buffer of an incomplete request,
+// and hold others.
 void ClientListener::relievePartialRequests(const ClientConnection& writing) {
-    while (partialRequestBytes_ > maxPartialRequestBytes_) {
+    while (partialRequestBytes_ > kMaxPartialRequestsFactor * maxPartialRequestBytes_) {
         const auto client = incompleteRequest(writing);
         if (client == clients_.end()) return;
         (*client)->rejectIncompleteRequest();
--- a/src/proxy/client_listener.hpp
+++ b/src/proxy/client_listener.hpp
@@ -13,6 +13,7 @@
 
 #include "proxy/client_connection.hpp"
 #include "proxy/drain_schedule.hpp"
+#include "proxy/request_budget.hpp"
 #include "proxy/request_dispatcher.hpp"
 #include "transport/buffer_pool.hpp"
 #include "transport/event_loop.hpp"
@@ -74,6 +75,7 @@
     std::uint64_t iteration() const override { return iteration_; }
     void onActive(ClientConnection& client) override;
     void onFirstValidRequest() override { ++clientsWithValidRequest_; }
+    RequestBudget& requestBudget() override { return requestBudget_; }
     ResponseBudget& responseBudget() override { return dispatcher_.responseBudget(); }
     bool mayHoldInput() const override;
     bool mayReadAhead() const override;
@@ -102,6 +104,7 @@
     void closeAboveIdleShare();
     void removeDisconnected();
     void readDeferred();
+    void admitRequests();
     void wakeMemoryWaiters();
 
     transport::EventLoop& loop_;
@@ -110,6 +113,7 @@
     std::size_t maxClients_;
     std::size_t maxPartialRequestBytes_;
     Nanos maxUnreadDuration_;
+    RequestBudget requestBudget_;
     std::size_t partialRequestBytes_ = 0;  // bytes of incomplete or held requests, over all clients
     std::size_t clientsWithValidRequest_ = 0;
     std::optional<DrainSchedule> drain_;
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -271,6 +271,12 @@
     return polled.fd < 0 || ::poll(&polled, 1, 0) > 0;
 }
 
+std::size_t Connection::unreadBytes() const {
+    int count = 0;
+    const bool isKnown = ioctl(descriptor(), FIONREAD, &count) == 0 && count > 0;
+    return isKnown ? static_cast<std::size_t>(count) : 0;
+}
+
 bool Connection::hasUnreadBytes() const { return peek() > 0; }
 
 bool Connection::isIdle() const { return peek() < 0 && (errno == EAGAIN || errno == EWOULDBLOCK); }
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -61,6 +61,8 @@
     std::uint64_t acknowledgedBytes() const;
     // Shuts down the sending side once all written bytes are sent; reading continues.
     void shutdownWrite();
+    // The number of unread bytes that the kernel has; 0 if it is not known.
+    std::size_t unreadBytes() const;
     // Whether the kernel has unread bytes.
     bool hasUnreadBytes() const;
     // Whether the kernel has neither unread bytes nor the end of the stream.
