Count the time for reading a client's first request from its first byte

Seen by callers: a client that connects and pauses for 2 s before its first request got "the command was not complete within the time limit" half a second into the request. Change: the limit counts anew from the first byte of each request.

--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -118,7 +118,7 @@
 }
 
 std::string_view ClientConnection::parse(std::string_view bytes, Nanos arrivedAt) {
-    if (!decoder_.isInValue() && requestBegunAt_ == 0) requestBegunAt_ = transport::EventLoop::now();
+    if (!decoder_.isInValue()) requestBegunAt_ = transport::EventLoop::now();
     using DecoderState = protocol::RespDecoder::State;
     DecoderState state = DecoderState::complete;
     while (state != DecoderState::more && state_ == State::open && !holdsBackInput()) {
--- a/tests/slow_writer_test.cpp
+++ b/tests/slow_writer_test.cpp
@@ -176,3 +176,15 @@
         for (Socket& socket : slow) socket.sendWithoutBlocking("x");
     }
 }
+
+// Guards against counting the wait for a client's first request as part of the time for reading that request.
+TEST_CASE("a client that pauses before its first request has the whole time for writing it") {
+    RouterFixture fixture;
+    const ServerThreads origin(fixture.origin, serveWrites);
+    Socket client = fixture.client();
+    usleep(2'000'000);
+    const std::string write = set("w", "c=mark,t=north,d=2000,k=w");
+    for (std::size_t at = 0; at < write.size(); at += write.size() / 10, usleep(150'000))
+        client.send(write.substr(at, write.size() / 10));
+    CHECK(client.readResponse() == "receipt");
+}
