Soak: late and slow replies, routers stopped and killed at the earliest, a crowd, and a variant that cuts

`slow_replies`: caches and origin send values of 0.1 to 150 kB late or slowly. `router_terminate`: SIGHUP, SIGTERM, and SIGKILL when the longest timeout and 0.7 s have passed; clients use open connections until then. `crowd`: silent clients. The audit gets the rule `cut` (a refusal of a request whose reply was arriving on a connection that its router closed) and judges, as `lost`, connections that a stopping router closes with a request on them that it has read. A request is sent again only if its connection was closed within 0.15 s of it and nothing of its response had come; before, any closed connection excused it. The defective variant `cuts` ends attempts whose response is incomplete some time after their start.

--- a/src/proxy/request_dispatcher.hpp
+++ b/src/proxy/request_dispatcher.hpp
@@ -114,6 +114,7 @@
 
   protected:
     void onAttemptEnded(Attempt& attempt, protocol::AttemptResponse response) override;
+    bool isAwaited(Attempt& attempt) override { return isAwaited(requests_.at(attempt.requestId())); }
     void setIdleTimeout(Nanos timeout) { pool_.setIdleTimeout(timeout); }
 
   private:
@@ -127,7 +128,6 @@
 
     // AttemptHandler
     BodySink* onStreamBegins(Attempt& attempt, std::size_t length, BodySource& source) override;
-    bool isAwaited(Attempt& attempt) override { return isAwaited(requests_.at(attempt.requestId())); }
 
     // Whether a request of this id may have been executed, or may be.
     bool isIdInUse(const std::string& id, Idempotency idempotency);
--- a/src/proxy/upstream_server.cpp
+++ b/src/proxy/upstream_server.cpp
@@ -193,14 +193,15 @@
                           connectingCount() > 0 ? AttemptOutcome::connectFailed : AttemptOutcome::notSent,
                           AttemptEndReason::connectionTimeout);
     }
-    if (attempt.progress().isExpired(transport::EventLoop::now())) return endTimedOut(attempt, *connection);
+    if (attempt.progress().isExpired(transport::EventLoop::now())) return endTimedOut(attempt);
     connection->onOverdue();
     attempt.startTimeout();
 }
 
 // The connection is closed before the attempt's end is reported: a retry must not start while this attempt is
 // in flight.
-void UpstreamServer::endTimedOut(Attempt& attempt, UpstreamConnection& connection) {
+void UpstreamServer::endTimedOut(Attempt& attempt) {
+    UpstreamConnection& connection = *attempt.connection();
     const TimedOut end = timedOutIn(attempt.progress().phase(), connection);
     connection.releaseAttempt();
     remove(connection);
--- a/src/proxy/upstream_server.hpp
+++ b/src/proxy/upstream_server.hpp
@@ -50,6 +50,8 @@
     void send(Attempt& attempt);
     // A time limit of the attempt has passed: ends it, unless the rest of its response may still arrive.
     void onTimeLimit(Attempt& attempt);
+    // Ends an attempt that is in flight, as if its time limit had passed.
+    void endTimedOut(Attempt& attempt);
     // No client waits for the response: ends the attempt as not sent unless its request was written.
     void withdraw(Attempt& attempt);
     // Attempts queued or written since the server was first listed.
@@ -71,7 +73,6 @@
 
     // Why the request of a waiting attempt must not be written now; none if it may be.
     std::optional<BlockedAction> reasonToBlock(Attempt& attempt) const;
-    void endTimedOut(Attempt& attempt, UpstreamConnection& connection);
     void endAttempt(Attempt& attempt, AttemptOutcome outcome, AttemptEndReason reason);
     void startOn(UpstreamConnection& connection, Attempt& attempt);
     void openConnections();
--- a/src/testbed/audit/audit.cpp
+++ b/src/testbed/audit/audit.cpp
@@ -15,6 +15,12 @@
 constexpr Nanos kForwardedTimeoutSlack = 150 * kMillisecond;
 constexpr std::int64_t kMaxJudgedTimeoutMs = 1'000'000'000;  // above any deadline, and can't overflow in ns
 constexpr std::size_t kMaxViolations = 1000;
+// How long after its deadline a request may get its final response if its server has begun to reply.
+constexpr Nanos kSlowReplySlack = 500 * kMillisecond;
+// A request on an open connection that is older has been read by its router.
+constexpr Nanos kMaxReadDelay = 150 * kMillisecond;
+// How long, beyond the longest timeout, a router that is asked to stop passes on responses.
+constexpr Nanos kMinStopTime = 500 * kMillisecond;
 
 std::string toString(std::string_view word) { return std::string(word); }
 
@@ -109,15 +115,16 @@
             if (Request* const request = requestOf(entry)) onFinalResponse(entry, *request);
             break;
         case EventKind::unsent:
-            // A router that is up has to answer each request that reaches it.
-            if (Request* const request = requestOf(entry)) {
-                const auto downSince = downSince_.find(request->router);
-                // A request that was refused just before the router came up may be logged after that.
-                if (downSince == downSince_.end() && request->issuedAt >= upSince_[request->router])
-                    addViolation("lost", entry,
-                                 "its router was up, and closed or refused the connection without an answer");
-                request->hasClientLeft = true;
-            }
+            onUnsent(entry);
+            break;
+        case EventKind::slowReplyBegun:
+            if (Request* const request = requestOf(entry)) request->hasSlowReply = true;
+            break;
+        case EventKind::slowReplyCut:
+            onSlowReplyCut(entry);
+            break;
+        case EventKind::responseBegun:
+            if (Request* const request = requestOf(entry)) request->responseBegunAt = entry.at;
             break;
         case EventKind::unanswered:
             if (Request* const request = requestOf(entry)) {
@@ -192,9 +199,11 @@
             break;
         case EventKind::stopping:
             downSince_[entry.router] = entry.at;
+            stoppingSince_[entry.router] = entry.at;
             break;
         case EventKind::up:
             downSince_.erase(entry.router);
+            stoppingSince_.erase(entry.router);
             upSince_[entry.router] = entry.at;
             break;
         case EventKind::statement:
@@ -253,12 +262,49 @@
                        violation.at + slack);
 }
 
+// A request that its client sent to a router which was up, or which had just been asked to stop and read the
+// request, has to be answered. A response may break off together with the reply that is passed on.
+void Audit::onUnsent(const LogEvent& entry) {
+    Request* const request = requestOf(entry);
+    if (!request) return;
+    const bool isBroken = request->responseBegunAt >= 0 && request->isSlowReplyBroken;
+    const auto downSince = downSince_.find(request->router);
+    // A request that was refused just before the router came up may be logged after that.
+    const bool isUp = downSince == downSince_.end() && request->issuedAt >= upSince_[request->router];
+    const auto stopping = stoppingSince_.find(request->router);
+    const bool wasRead = entry.text == "broken" && entry.at - request->issuedAt > kMaxReadDelay;
+    const bool wasStopping = wasRead && !hasMachines_ && stopping != stoppingSince_.end();
+    // A process has to end some time after the longest timeout, even while it passes on a response.
+    const bool isEndOfProcess = wasStopping && request->responseBegunAt >= 0 &&
+                                entry.at >= stopping->second + longestTimeout_ + kMinStopTime;
+    if (!isBroken && isUp)
+        addViolation("lost", entry,
+                     "its router was up, and closed or refused the connection without an answer");
+    else if (!isBroken && wasStopping && !isEndOfProcess)
+        addViolation("lost", entry, "its router closed the connection without an answer while it stopped");
+    request->hasClientLeft = true;
+}
+
+// After the deadline, a router may give up a reply of which it has no byte of the value.
+void Audit::onSlowReplyCut(const LogEvent& entry) {
+    Request* const request = requestOf(entry);
+    if (!request) return;
+    if (entry.text == "broken") request->isSlowReplyBroken = true;
+    const bool mayGiveUp = entry.at >= request->deadline && entry.number == 0;
+    if (entry.text == "closed" && !mayGiveUp) request->isSlowReplyClosed = true;
+}
+
 void Audit::onFinalResponse(const LogEvent& entry, Request& request) {
     ++request.finalResponses;
     if (request.hasClientLeft || request.isUnanswered) return;
     if (request.finalResponses > 1) addViolation("lost", entry, "a second final response");
-    if (entry.at > request.deadline + deadlineSlack_)
+    const Nanos at = request.responseBegunAt >= 0 ? request.responseBegunAt : entry.at;
+    const Nanos slack = request.hasSlowReply ? std::max(deadlineSlack_, kSlowReplySlack) : deadlineSlack_;
+    if (at > request.deadline + slack)
         addViolation("lost", entry, "its final response came after its deadline");
+    const bool isRefused = entry.kind == EventKind::rejected || entry.kind == EventKind::failed;
+    if (isRefused && request.isSlowReplyClosed && !downSince_.contains(request.router))
+        addViolation("cut", entry, "its router had closed the connection on which its reply was arriving");
 }
 
 void Audit::onAnswered(const LogEvent& entry) {
--- a/src/testbed/audit/audit.hpp
+++ b/src/testbed/audit/audit.hpp
@@ -14,7 +14,7 @@
 namespace poppyscale::testbed {
 
 struct Violation {
-    std::string rule;  // lost, twice, foreign, drain, cold, time, crash or roll
+    std::string rule;  // lost, cut, twice, foreign, drain, cold, time, crash or roll
     Nanos at = 0;
     std::string description;
     int router = -1;
@@ -54,6 +54,10 @@
         int finalResponses = 0;
         bool hasClientLeft = false;
         bool isUnanswered = false;
+        Nanos responseBegunAt = -1;      // when the client got the first byte of a response; -1: not yet
+        bool hasSlowReply = false;       // a server has begun a reply that it sends late or slowly
+        bool isSlowReplyBroken = false;  // by the server or the network
+        bool isSlowReplyClosed = false;  // by the router, before the deadline or with a part of the value
         bool missedAtColdCache = false;
         std::vector<Attempt> attempts;
     };
@@ -87,6 +91,8 @@
     void onServerOverloaded(const LogEvent& entry);
     Attempt* attemptOf(const LogEvent& entry);
     Request* requestOf(const LogEvent& entry);
+    void onSlowReplyCut(const LogEvent& entry);
+    void onUnsent(const LogEvent& entry);
     void onFinalResponse(const LogEvent& entry, Request& request);
     bool mayHaveExecuted(const Request& request) const;
 
@@ -101,6 +107,8 @@
     std::map<std::pair<int, int>, KnownEndpoint> knownEndpoints_;
     // By router: when its process last ended or was asked to stop; no entry while the router is up.
     std::map<int, Nanos> downSince_;
+    // By router: when it was asked to stop; no entry once it has come up again.
+    std::map<int, Nanos> stoppingSince_;
     std::map<int, Nanos> upSince_;  // by router: when it last became reachable
 
     struct Interval {
--- a/src/testbed/defective_variants/defect.cpp
+++ b/src/testbed/defective_variants/defect.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <stdexcept>
 #include <unordered_map>
 #include <utility>
@@ -24,6 +25,7 @@
 constexpr double kDefaultExitDelayS = 3;
 // So short that each connection serves only the attempt that it was opened for.
 constexpr Nanos kIdleTimeout = 5 * kMillisecond;
+constexpr Nanos kCutInterval = 20 * kMillisecond;
 
 class DefectiveDispatcher : public proxy::RequestDispatcher {
   public:
@@ -35,7 +37,8 @@
           random_(static_cast<std::mt19937::result_type>(start.policy.seed +
                                                          static_cast<std::uint64_t>(::getpid()))),
           delayTimer_(loop, [this] { deliverDelayed(); }),
-          exitTimer_(loop, [] { std::_Exit(1); }) {
+          exitTimer_(loop, [] { std::_Exit(1); }),
+          cutTimer_(loop, [this] { cutResponses(); }) {
         const double after = variant.size > 0 ? variant.size : kDefaultExitDelayS;
         if (variant.kind == Kind::exitsEarly)
             exitTimer_.start(transport::EventLoop::now() + static_cast<Nanos>(after * 1e9));
@@ -75,6 +78,24 @@
     }
 
   private:
+    bool isAwaited(proxy::Attempt& attempt) override {
+        if (variant_.kind == Kind::cutsResponses) {
+            written_.insert(&attempt);
+            if (!cutTimer_.isActive()) cutTimer_.start(transport::EventLoop::now() + kCutInterval);
+        }
+        return RequestDispatcher::isAwaited(attempt);
+    }
+    // Ends attempts of a certain age whose response is arriving.
+    void cutResponses() {
+        const Nanos now = transport::EventLoop::now();
+        const auto age = static_cast<Nanos>(variant_.size * kMillisecond);
+        const std::vector<proxy::Attempt*> written(written_.begin(), written_.end());
+        for (proxy::Attempt* const attempt : written) {
+            const bool isReceiving = attempt->progress().phase() == proxy::AttemptPhase::receivingResponse;
+            if (isReceiving && now - attempt->startedAt() >= age) attempt->server().endTimedOut(*attempt);
+        }
+        cutTimer_.start(now + kCutInterval);
+    }
     struct DelayedResponse {
         proxy::Attempt* attempt;
         protocol::AttemptResponse outcome;
@@ -83,6 +104,7 @@
         return variant_.kind == kind && std::generate_canonical<double, 32>(random_) < variant_.size;
     }
     void onAttemptEnded(proxy::Attempt& attempt, protocol::AttemptResponse outcome) override {
+        written_.erase(&attempt);
         if (variant_.kind != Kind::slower || outcome.outcome != AttemptOutcome::succeeded ||
             attempt.firstByteAt())
             return RequestDispatcher::onAttemptEnded(attempt, std::move(outcome));
@@ -107,7 +129,8 @@
     std::multimap<Nanos, DelayedResponse> delayed_;
     std::unordered_map<PendingRequest*, std::unique_ptr<PendingRequest>> unanswered_;
     std::vector<std::string> leaked_;
-    transport::Timer delayTimer_, exitTimer_;
+    std::set<proxy::Attempt*> written_;  // attempts that were written, in the variant `cutsResponses`
+    transport::Timer delayTimer_, exitTimer_, cutTimer_;
 };
 
 }  // namespace
@@ -122,7 +145,8 @@
                                                                {"lossy", Kind::dropsRequests},
                                                                {"leaks", Kind::leaksMemory},
                                                                {"connections", Kind::connectionPerAttempt},
-                                                               {"drains", Kind::ignoresDraining}};
+                                                               {"drains", Kind::ignoresDraining},
+                                                               {"cuts", Kind::cutsResponses}};
     std::string known;
     for (const auto& [n, kind] : all) {
         if (n == name) return kind;
--- a/src/testbed/defective_variants/defect.hpp
+++ b/src/testbed/defective_variants/defect.hpp
@@ -18,7 +18,8 @@
         dropsRequests,         // never answers this share of requests
         leaksMemory,           // leaks `size` KiB per request
         connectionPerAttempt,  // opens a connection for each attempt
-        ignoresDraining        // keeps sending to servers that are draining
+        ignoresDraining,       // keeps sending to servers that are draining
+        cutsResponses          // ends attempts whose response is incomplete `size` ms after their start
     };
     Kind kind = Kind::none;
     double size = 0;
--- a/src/testbed/drivers/live/live_run.cpp
+++ b/src/testbed/drivers/live/live_run.cpp
@@ -41,6 +41,9 @@
 
 constexpr Nanos kSecond = 1'000 * kMillisecond;
 constexpr Nanos kReadinessTimeout = 15 * kSecond;
+// A router reads a request on an open connection within this time.
+constexpr Nanos kMaxReadDelay = 150 * kMillisecond;
+constexpr Nanos kPartInterval = 20 * kMillisecond;  // between the parts of a slow reply
 constexpr Nanos kReadinessProbeInterval = 20 * kMillisecond;
 // A window counts as late if the testbed was later than the threshold at any time in it.
 constexpr Nanos kLateThreshold = 20 * kMillisecond;
@@ -114,6 +117,23 @@
     int backlogFillers_[2] = {-1, -1};
 };
 
+// A client's connection on which nothing is sent.
+class SilentClient {
+  public:
+    explicit SilentClient(const Address& at)
+        : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
+        ::connect(fd_, reinterpret_cast<const sockaddr*>(&at), sizeof at);
+    }
+    ~SilentClient() {
+        if (fd_ >= 0) ::close(fd_);
+    }
+    SilentClient(const SilentClient&) = delete;
+    SilentClient& operator=(const SilentClient&) = delete;
+
+  private:
+    int fd_;
+};
+
 class LiveRun;
 
 // The server's side of a router's connection to a cache or to the origin.
@@ -123,6 +143,8 @@
     bool start(const std::function<bool(Connection&)>& finish);
     void reply(const Reply& reply);
     ConnectionId id() const { return id_; }
+    // Reports a slow reply that is being sent as cut off.
+    void reportCut(bool byRouter);
 
   private:
     void onData(std::string_view bytes) override;
@@ -130,6 +152,8 @@
     // The longest time that the data may have waited before it was read.
     Nanos maxArrivalDelay() const;
     void readAttempt(const protocol::RespValue& value);
+    void replySlowly(const Reply& reply);
+    void sendPart();
 
     LiveRun& live_;
     int router_, addressIndex_;
@@ -137,6 +161,10 @@
     Connection connection_;
     protocol::RespDecoder decoder_{{80 * 1024, 16, 2, 160 * 1024, false}};
     HttpRequestParser http_;
+    Reply slowReply_;
+    std::string slowBytes_;  // of the slow reply after its head; empty without one
+    std::size_t slowBytesSent_ = 0;
+    transport::Timer partTimer_;
 };
 
 // The server's side of a router's connection to discovery.
@@ -178,9 +206,11 @@
     LiveRun& live_;
     int router_;
     Connection connection_;
-    protocol::RespDecoder decoder_{{80 * 1024, 64, 3, 256 * 1024, false}};
+    protocol::RespDecoder decoder_{{256 * 1024, 64, 3, 512 * 1024, false}};
     ClientRequest request_;
     bool isConnected_ = false;
+    bool hasResponseBegun_ = false;  // a part of the response to `request_` has arrived
+    Nanos writtenAt_ = 0;            // when `request_` was written
     int responses_ = 0;
 };
 
@@ -222,7 +252,18 @@
         const auto it = serverConnections.find(conn);
         if (it != serverConnections.end()) it->second->reply(reply);
     }
-    void breakConnection(ConnectionId conn) override { serverConnections.erase(conn); }
+    void breakConnection(ConnectionId conn) override {
+        const auto it = serverConnections.find(conn);
+        if (it == serverConnections.end()) return;
+        it->second->reportCut(false);
+        serverConnections.erase(it);
+    }
+    bool hasIdleClient(int router) const override {
+        const auto& connections = clientConnections[static_cast<std::size_t>(router)];
+        return std::any_of(connections.begin(), connections.end(),
+                           [](const auto& connection) { return connection->isIdle(); });
+    }
+    void setCrowd(int count) override;
     void setAddressState(int router, int addressIndex, AddressState state) override;
     void sendEndpointList(int router, PollId pollId, const EndpointListMessage& list) override;
     void refusePoll(int router, PollId pollId) override;
@@ -309,6 +350,7 @@
     bool ownsFolder_ = false;
     std::vector<std::unique_ptr<ChildProcess>> processes_;
     std::vector<std::unique_ptr<ReadinessProbe>> probes_;
+    std::list<SilentClient> crowd_;
     std::vector<std::vector<ListeningAddress>> addresses_;
     std::vector<std::unique_ptr<transport::Listener>> discoveryListeners_;
     int discoveryAddressIndex_ = 0;
@@ -339,7 +381,11 @@
 // ---- ServerConnectionHandler
 
 ServerConnectionHandler::ServerConnectionHandler(LiveRun& live, int router, int addressIndex)
-    : live_(live), router_(router), addressIndex_(addressIndex), connection_(live.loop, live.pool, *this) {}
+    : live_(live),
+      router_(router),
+      addressIndex_(addressIndex),
+      connection_(live.loop, live.pool, *this),
+      partTimer_(live.loop, [this] { sendPart(); }) {}
 
 bool ServerConnectionHandler::start(const std::function<bool(Connection&)>& finish) {
     if (!finish(connection_)) return false;
@@ -399,6 +445,7 @@
 
 void ServerConnectionHandler::reply(const Reply& reply) {
     using K = Reply::Kind;
+    if (reply.slow.bytesPerSecond > 0) return replySlowly(reply);
     std::string text;
     if (addressIndex_ == 0) {
         if (reply.kind == K::value) text = httpResponse(200, "", reply.token);
@@ -416,7 +463,40 @@
     connection_.write(text);
 }
 
+void ServerConnectionHandler::replySlowly(const Reply& reply) {
+    std::string value = reply.token;
+    value.resize(std::max(value.size(), reply.slow.length), kFiller);
+    slowReply_ = reply;
+    slowBytesSent_ = 0;
+    if (addressIndex_ == 0) {
+        connection_.write(fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", value.size()));
+        slowBytes_ = value;
+    } else {
+        connection_.write("*3\r\n" + protocol::bulkHead(value.size()));
+        slowBytes_ = value + "\r\n" + protocol::bulk("hit") + "$-1\r\n";
+    }
+    partTimer_.start(transport::EventLoop::now() + reply.slow.pause);
+}
+
+void ServerConnectionHandler::sendPart() {
+    const auto part = static_cast<std::size_t>(static_cast<Nanos>(slowReply_.slow.bytesPerSecond) *
+                                               kPartInterval / kSecond);
+    const std::string_view bytes = std::string_view(slowBytes_).substr(slowBytesSent_, part);
+    slowBytesSent_ += bytes.size();
+    connection_.write(bytes);
+    if (slowBytesSent_ < slowBytes_.size())
+        partTimer_.start(transport::EventLoop::now() + kPartInterval);
+    else
+        slowBytes_.clear();
+}
+
+void ServerConnectionHandler::reportCut(bool byRouter) {
+    if (slowBytes_.empty()) return;
+    live_.deployment.onSlowReplyCut(live_.now(), router_, slowReply_, slowBytesSent_, byRouter);
+}
+
 void ServerConnectionHandler::onClosed() {
+    reportCut(true);
     const ConnectionId id = id_;
     LiveRun& live = live_;
     live.deployment.onConnectionClosed(live.now(), id);
@@ -478,6 +558,7 @@
     const std::string id = fmt::format("{:016x}", request_.id);
     std::vector<std::string_view> words{requestClass.write ? "OBJ.SET" : "OBJ.GET", request_.key, id, info};
     if (requestClass.write) words.push_back("value");
+    writtenAt_ = live_.now();
     if (!connection_.write(protocol::command(words))) onClosed();
 }
 
@@ -491,17 +572,22 @@
 void ClientConnectionHandler::onData(std::string_view bytes) {
     while (!bytes.empty()) {
         const auto state = decoder_.feed(bytes);
-        if (state == protocol::RespDecoder::State::more) return;
+        if (state == protocol::RespDecoder::State::more) {
+            if (request_.id) live_.deployment.onResponseBegun(live_.now(), request_.id);
+            hasResponseBegun_ = true;
+            return;
+        }
         if (state == protocol::RespDecoder::State::malformed || request_.id == 0) return onClosed();
         const protocol::RespValue value = decoder_.takeValue();
         const RequestId id = std::exchange(request_.id, 0);
         ++responses_;
+        hasResponseBegun_ = false;
         using K = protocol::RespValue::Kind;
         LiveRun& live = live_;
         const Nanos at = live.now();
         if (value.kind == K::bulk) {
-            live.deployment.onClientOutcome(at, id, EmulatedDeployment::ClientOutcome::answered, value.text,
-                                            0);
+            live.deployment.onClientOutcome(at, id, EmulatedDeployment::ClientOutcome::answered,
+                                            value.text.substr(0, value.text.find(kFiller)), 0);
         } else if (value.kind == K::error && value.text.starts_with("BUSY")) {
             const auto pause =
                 value.text.size() > 5 ? protocol::parse<std::int64_t>(value.text.substr(5)) : std::nullopt;
@@ -518,7 +604,8 @@
     const ClientRequest request = request_;
     // The router may close a used connection just as the next request is sent on it. That request
     // is sent again on a new connection.
-    const bool retry = request.id && responses_ > 0 && live.isRouterAlive(router_);
+    const bool mayBeUnread = !hasResponseBegun_ && live.now() - writtenAt_ < kMaxReadDelay;
+    const bool retry = request.id && responses_ > 0 && mayBeUnread && live.isRouterAlive(router_);
     const bool wasConnected = isConnected_;
     live.removeClientConnection(router_, this);
     if (retry) return live.dispatchRequest(request, true);
@@ -885,6 +972,12 @@
     });
 }
 
+void LiveRun::setCrowd(int count) {
+    crowd_.clear();
+    for (int router = 0; router < deployment.scenario().routers.count; ++router)
+        for (int i = 0; i < count; ++i) crowd_.emplace_back(addressOf(router, kRouterPort));
+}
+
 void LiveRun::removeClientConnection(int router, ClientConnectionHandler* connection) {
     clientConnections[static_cast<std::size_t>(router)].remove_if(
         [&](const auto& l) { return l.get() == connection; });
--- a/src/testbed/emulator/emulated_deployment.cpp
+++ b/src/testbed/emulator/emulated_deployment.cpp
@@ -19,6 +19,12 @@
 constexpr std::size_t kMaxRememberedRequests = 1 << 18;
 // Time until the clients' load balancer stops using a router that got SIGTERM.
 constexpr Nanos kTerminationDetectionDelay = 300 * kMillisecond;
+// The earliest SIGKILL after SIGTERM, beyond the longest timeout of the deployment.
+constexpr Nanos kEarliestKill = 700 * kMillisecond;
+// How long after its deadline a request whose server has begun a slow reply may get its final response.
+constexpr Nanos kSlowReplySlack = 500 * kMillisecond;
+// How long after its deadline the rest of a response may arrive that the client has begun to receive.
+constexpr Nanos kMaxTransferOvertime = 12'000 * kMillisecond;
 
 std::size_t toIndex(int index) { return static_cast<std::size_t>(index); }
 
@@ -45,6 +51,7 @@
     double slowdown = 1;
     double errorShare = 0;  // share of requests that fail at once because of a fault
     double resetShare = 0;
+    double slowReplyShare = 0;
     Nanos readDelay = 0;
     int openConnections = 0;
     std::uint64_t incarnation = 0;  // events that were scheduled for an earlier process are ignored
@@ -227,7 +234,9 @@
 int EmulatedDeployment::pickRouter() {
     std::vector<int> candidates;
     for (std::size_t router = 0; router < routers_.size(); ++router)
-        if (routers_[router].isAssumedUp) candidates.push_back(static_cast<int>(router));
+        if (routers_[router].isAssumedUp ||
+            (routers_[router].isEnding && transport_.hasIdleClient(static_cast<int>(router))))
+            candidates.push_back(static_cast<int>(router));
     if (candidates.empty()) return networkRandom_.integerBelow(static_cast<int>(routers_.size()));
     return candidates[toIndex(networkRandom_.integerBelow(static_cast<int>(candidates.size())))];
 }
@@ -283,18 +292,36 @@
         missedAt_.erase(rememberedRequests_.front());
         rememberedRequests_.pop_front();
     }
-    events_.schedule(request.deadline + scenario_.slack, [this, id](Nanos t) {
-        const auto it = openRequests_.find(id);
-        if (it == openRequests_.end()) return;
-        const int router = it->second.router;
-        log(t, EventKind::unanswered, id, router, -1, 0, 0);
-        openRequests_.erase(it);
-        transport_.disconnectClient(router, id);
-    });
+    events_.schedule(request.deadline + scenario_.slack, [this, id](Nanos t) { expireRequest(t, id); });
     const ClientRequest& openRequest = openRequests_[id] = std::move(request);
     transport_.sendRequest(openRequest);
 }
 
+void EmulatedDeployment::expireRequest(Nanos now, RequestId id) {
+    const auto it = openRequests_.find(id);
+    if (it == openRequests_.end()) return;
+    Nanos end = it->second.deadline + scenario_.slack;
+    if (slowlyAnswered_.contains(id)) end = it->second.deadline + std::max(scenario_.slack, kSlowReplySlack);
+    if (begunResponses_.contains(id)) end = it->second.deadline + kMaxTransferOvertime;
+    if (now < end) return events_.schedule(end, [this, id](Nanos t) { expireRequest(t, id); });
+    const int router = it->second.router;
+    log(now, EventKind::unanswered, id, router, -1, 0, 0);
+    openRequests_.erase(it);
+    transport_.disconnectClient(router, id);
+}
+
+void EmulatedDeployment::onResponseBegun(Nanos now, RequestId id) {
+    const auto it = openRequests_.find(id);
+    if (it == openRequests_.end() || !begunResponses_.insert(id).second) return;
+    log(now, EventKind::responseBegun, id, it->second.router, -1, 0, 0);
+}
+
+void EmulatedDeployment::onSlowReplyCut(Nanos now, int router, const Reply& reply, std::size_t sentBytes,
+                                        bool byRouter) {
+    log(now, EventKind::slowReplyCut, reply.requestId, router, reply.server, 0,
+        static_cast<std::int64_t>(sentBytes), byRouter ? "closed" : "broken");
+}
+
 void EmulatedDeployment::onClientOutcome(Nanos now, RequestId id, ClientOutcome outcome,
                                          const std::string& token, Nanos retryAfter) {
     const auto it = openRequests_.find(id);
@@ -308,6 +335,8 @@
     }
     const ClientRequest request = std::move(it->second);
     openRequests_.erase(it);
+    slowlyAnswered_.erase(id);
+    begunResponses_.erase(id);
     switch (outcome) {
         case ClientOutcome::answered:
             return log(now, EventKind::answered, id, request.router, -1, 0, 0, token);
@@ -323,7 +352,7 @@
                 retryLater(now, request, scenario_.load.initialBackoff << (request.tryNumber - 1));
             return;
         case ClientOutcome::unsent:
-            log(now, EventKind::unsent, id, request.router, -1, 0, 0);
+            log(now, EventKind::unsent, id, request.router, -1, 0, 0, token);
             if (token.empty() ||
                 scenario_.requestClasses[toIndex(request.requestClass)].requestClass.idempotency ==
                     Idempotency::safe)
@@ -559,6 +588,10 @@
         missedAt_[attempt.received.requestId].push_back(server);
     }
     if (serviceRandom_.chance(activeFaults_.malformedShare)) reply = {Reply::Kind::malformed, {}};
+    reply.requestId = attempt.received.requestId;
+    reply.server = server;
+    const bool isSlow = serverState.slowReplyShare > 0 && faultRandom_.chance(serverState.slowReplyShare);
+    if (isSlow && reply.kind == Reply::Kind::value) reply.slow = drawSlowDelivery();
     queueReply(now, attemptId, std::move(reply));
     startJobs(now, server);
 }
@@ -588,12 +621,32 @@
         if (!isReachable(conn.router, conn.server)) return;
         const Nanos networkDelay =
             drawNetworkDelay(servers_[toIndex(conn.server)].zone, routers_[toIndex(conn.router)].zone);
-        events_.schedule(now + networkDelay, [this, id, reply](Nanos) {
-            if (connections_.contains(id)) transport_.sendReply(id, reply);
+        events_.schedule(now + networkDelay, [this, id, reply](Nanos t) {
+            if (!connections_.contains(id)) return;
+            if (reply.slow.bytesPerSecond > 0) {
+                if (openRequests_.contains(reply.requestId)) slowlyAnswered_.insert(reply.requestId);
+                log(t, EventKind::slowReplyBegun, reply.requestId, -1, reply.server, 0, 0,
+                    fmt::format("pause={} length={} rate={}", reply.slow.pause / kMillisecond,
+                                reply.slow.length, reply.slow.bytesPerSecond));
+            }
+            transport_.sendReply(id, reply);
         });
     }
 }
 
+// Values that are passed on at once and in parts, short and long, with a pause before the first byte and
+// without; some take longer than the client waits.
+SlowDelivery EmulatedDeployment::drawSlowDelivery() {
+    constexpr std::size_t kLengths[]{100, 20'000, 60'000, 150'000};
+    constexpr std::size_t kRates[]{20'000, 40'000, 100'000, 400'000};
+    SlowDelivery slow;
+    const bool isLate = faultRandom_.chance(0.5);
+    if (isLate) slow.pause = faultRandom_.integerBelow(1'200) * kMillisecond;
+    slow.length = kLengths[faultRandom_.integerBelow(static_cast<int>(std::size(kLengths)))];
+    slow.bytesPerSecond = kRates[faultRandom_.integerBelow(static_cast<int>(std::size(kRates)))];
+    return slow;
+}
+
 void EmulatedDeployment::breakConnection(Nanos now, ConnectionId id) {
     const auto it = connections_.find(id);
     if (it == connections_.end()) return;
@@ -893,6 +946,33 @@
 
 // ---- Faults
 
+// A service manager reloads, then stops the processes, and kills them at the earliest time that the routers'
+// documentation states.
+void EmulatedDeployment::terminateRouters(Nanos now, int count) {
+    std::vector<int> drawn;
+    for (int router = 0; router < scenario_.routers.count; ++router)
+        if (routers_[toIndex(router)].isUp && !routers_[toIndex(router)].isEnding) drawn.push_back(router);
+    std::shuffle(drawn.begin(), drawn.end(), faultRandom_.engine());
+    if (std::ssize(drawn) > count) drawn.resize(toIndex(count));
+    for (const int router : drawn) {
+        RouterState& state = routers_[toIndex(router)];
+        state.isEnding = true;
+        log(now, EventKind::stopping, 0, router, -1, 0, 0);
+        transport_.reloadRouter(router);
+        transport_.terminateRouter(router);
+        const auto isSameProcess = [&state, incarnation = state.incarnation] {
+            return state.incarnation == incarnation;
+        };
+        events_.schedule(now + kTerminationDetectionDelay, [&state, isSameProcess](Nanos) {
+            if (isSameProcess()) state.isAssumedUp = false;
+        });
+        events_.schedule(now + scenario_.longestTimeout() + kEarliestKill,
+                         [this, router, isSameProcess](Nanos) {
+                             if (isSameProcess()) transport_.killRouter(router);
+                         });
+    }
+}
+
 void EmulatedDeployment::scheduleFaults(const FaultPlan& fault) {
     for (int i = 0; i < fault.repetitions; ++i) {
         FaultPlan repetition = fault;
@@ -1011,6 +1091,18 @@
         case K::malformedResponses:
             activeFaults_.malformedShare = fault.magnitude;
             break;
+        case K::slowReplies:
+            forDrawnCaches(
+                [&](int, ServerState& serverState) { serverState.slowReplyShare = fault.magnitude; });
+            affected.push_back(0);
+            serverStates_[0]->slowReplyShare = fault.magnitude;
+            break;
+        case K::routerTerminate:
+            terminateRouters(now, fault.count);
+            break;
+        case K::crowd:
+            transport_.setCrowd(static_cast<int>(fault.magnitude));
+            break;
         case K::originStop:
             stopServer(now, 0);
             break;
@@ -1048,7 +1140,8 @@
         case K::routerKill: {
             std::vector<int> all;
             for (int router = 0; router < scenario_.routers.count; ++router)
-                if (routers_[toIndex(router)].isUp) all.push_back(router);
+                if (routers_[toIndex(router)].isUp && !routers_[toIndex(router)].isEnding)
+                    all.push_back(router);
             std::shuffle(all.begin(), all.end(), faultRandom_.engine());
             for (std::size_t i = 0; i < std::min(all.size(), toIndex(fault.count)); ++i) {
                 routers_[toIndex(all[i])].isEnding = true;
@@ -1062,7 +1155,8 @@
                 events_.schedule(
                     now + fault.length * router / scenario_.routers.count, [this, router](Nanos t) {
                         RouterState& state = routers_[toIndex(router)];
-                        if (!state.isUp) return;
+                        // A second SIGTERM ends a router at once.
+                        if (!state.isUp || state.isEnding) return;
                         state.isEnding = true;
                         log(t, EventKind::stopping, 0, router, -1, 0, 0);
                         transport_.terminateRouter(router);
@@ -1128,7 +1222,7 @@
                 break;
             default:
                 serverState.slowdown = 1;
-                serverState.errorShare = serverState.resetShare = 0;
+                serverState.errorShare = serverState.resetShare = serverState.slowReplyShare = 0;
                 serverState.refusesConnects = serverState.dropsConnects = serverState.dropsReplies = false;
                 serverState.readDelay = 0;
         }
@@ -1144,6 +1238,7 @@
     }
     if (fault.kind == K::zonePartition || fault.kind == K::refuse || fault.kind == K::connectsDropped)
         updateAddressStates(now);
+    if (fault.kind == K::crowd) transport_.setCrowd(0);
     if (fault.kind == K::malformedResponses) activeFaults_.malformedShare = 0;
     if (fault.kind == K::originStop) restartServer(now, 0);
     if (fault.kind == K::originSlow) serverStates_[0]->slowdown = 1;
--- a/src/testbed/emulator/emulated_deployment.hpp
+++ b/src/testbed/emulator/emulated_deployment.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "testbed/emulator/event_log.hpp"
@@ -50,10 +51,22 @@
     Nanos maxReadDelay = 0;  // longest time that the attempt may have waited before it was read
 };
 
+// How a server sends a value late or slowly, after the head of its reply.
+struct SlowDelivery {
+    Nanos pause = 0;                 // between the head and the value
+    std::size_t length = 0;          // the value is filled up to this length, in bytes
+    std::size_t bytesPerSecond = 0;  // 0: the reply is sent at once
+};
+// Fills up a value after its token.
+constexpr char kFiller = '~';
+
 struct Reply {
     enum class Kind : std::uint8_t { value, miss, error, busy, malformed };
     Kind kind = Kind::error;
     std::string token;
+    SlowDelivery slow = {};
+    RequestId requestId = 0;
+    int server = 0;
 };
 
 // The state of a server as discovery lists it.
@@ -81,6 +94,8 @@
     virtual ~Transport() = default;
     virtual void sendRequest(const ClientRequest& request) = 0;
     virtual void disconnectClient(int router, RequestId id) = 0;
+    // Whether a client has an open connection to the router on which no request is open.
+    virtual bool hasIdleClient(int /*router*/) const { return false; }
     virtual void onConnectionOpened(ConnectionId connection, bool up) = 0;
     virtual void sendReply(ConnectionId connection, const Reply& reply) = 0;
     virtual void breakConnection(ConnectionId connection) = 0;  // the id is not valid after this
@@ -96,6 +111,8 @@
     virtual void terminateRouter(int router) = 0;
     virtual void reloadRouter(int router) = 0;
     virtual void upgradeRouter(int router) = 0;
+    // Connects `count` clients that send nothing to each router; 0 disconnects them.
+    virtual void setCrowd(int /*count*/) {}
     // A fault of the routers' processes begins or ends.
     virtual void injectProcessFault(const FaultPlan& /*fault*/, bool /*begins*/) {}
     // A fault of a machine begins or ends. `machine` is the machine that the plan names, or else a
@@ -145,6 +162,10 @@
     enum class ClientOutcome : std::uint8_t { answered, rejected, failed, unsent };
     void onClientOutcome(Nanos now, RequestId id, ClientOutcome outcome, const std::string& token,
                          Nanos retryAfter);
+    // The client has received the first byte of a response that is not complete.
+    void onResponseBegun(Nanos now, RequestId id);
+    // A slow reply ended early: the router closed its connection, or else the server or the network did.
+    void onSlowReplyCut(Nanos now, int router, const Reply& reply, std::size_t sentBytes, bool byRouter);
     // A router's process has come up, or has ended.
     void onRouterUp(Nanos now, int router);
     void onRouterGone(Nanos now, int router);
@@ -226,6 +247,10 @@
     void abandonRequest(Nanos now, RequestId id);
     double rateAt(Nanos now);
     void sendRequest(Nanos now, ClientRequest request);
+    // Ends the request unless its response may still arrive.
+    void expireRequest(Nanos now, RequestId id);
+    void terminateRouters(Nanos now, int count);
+    SlowDelivery drawSlowDelivery();
     std::string drawKey(Nanos now);
     int pickRouter();
     void retryLater(Nanos now, const ClientRequest& last, Nanos after);
@@ -284,6 +309,8 @@
     std::unordered_map<ConnectionId, ServerConnection> connections_;
     std::unordered_map<std::uint64_t, AttemptInFlight> attempts_;
     std::unordered_map<RequestId, ClientRequest> openRequests_;
+    std::unordered_set<RequestId> slowlyAnswered_;  // open requests to which a slow reply was begun
+    std::unordered_set<RequestId> begunResponses_;  // open requests whose client has a part of the response
     // The cache servers that missed for a request; they are filled when the origin answers it.
     std::unordered_map<RequestId, std::vector<int>> missedAt_;
     std::unordered_map<RequestId, double> requestWork_;
--- a/src/testbed/emulator/event_log.cpp
+++ b/src/testbed/emulator/event_log.cpp
@@ -14,10 +14,10 @@
 
 constexpr std::size_t kFlushThresholdBytes = 1 << 16;
 constexpr std::string_view kFormat = "poppylab-log 1 ";
-constexpr std::array<std::string_view, 23> kEventNames{
-    "server", "asked",    "answered", "declined", "terminated", "unsent", "silent",  "left",
-    "sent",   "began",    "ended",    "closed",   "broke",      "listed", "started", "fell",
-    "killed", "stopping", "up",       "fault",    "late",       "opened", "claims"};
+constexpr std::array<std::string_view, 26> kEventNames{
+    "server", "asked", "answered", "declined", "terminated", "unsent",  "silent", "left",   "sent",
+    "began",  "ended", "closed",   "broke",    "listed",     "started", "fell",   "killed", "stopping",
+    "up",     "fault", "late",     "opened",   "slowly",     "cutoff",  "first",  "claims"};
 
 template <class T>
 T parseNumber(std::string_view text, int base, long lineNumber) {
--- a/src/testbed/emulator/event_log.hpp
+++ b/src/testbed/emulator/event_log.hpp
@@ -56,6 +56,13 @@
     fault,            // text "begins|ends KIND ..."
     testbedLateness,  // number: the testbed's largest lateness since the last event of this kind
     opened,           // a router opened a connection to a server, which accepted it
+    // A server begins a reply whose value it sends late or slowly. Text "pause=MS length=BYTES rate=BYTES".
+    slowReplyBegun,
+    // Such a reply ended early. Text "closed" by the router, or "broken" by the server or the network; number
+    // the
+    // bytes of the value that were sent.
+    slowReplyCut,
+    responseBegun,  // the client got the first byte of a response that is not complete
     statement  // a process's statement about itself; text "WHAT begins|ends" or "runs WHAT", number the time
 };
 
--- a/src/testbed/emulator/scenario.cpp
+++ b/src/testbed/emulator/scenario.cpp
@@ -30,6 +30,9 @@
                                                       {"slow_reader", FaultKind::slowReader},
                                                       {"deaf", FaultKind::unresponsive},
                                                       {"spoil", FaultKind::malformedResponses},
+                                                      {"slow_replies", FaultKind::slowReplies},
+                                                      {"router_terminate", FaultKind::routerTerminate},
+                                                      {"crowd", FaultKind::crowd},
                                                       {"origin_stop", FaultKind::originStop},
                                                       {"origin_slow", FaultKind::originSlow},
                                                       {"discovery_down", FaultKind::discoveryDown},
@@ -141,6 +144,7 @@
             break;
         case FaultKind::errors:
         case FaultKind::reset:
+        case FaultKind::slowReplies:
             fault.count = table.integer("count", 1, 1, scenario.cacheCount());
             fault.magnitude = table.fraction("by", std::nullopt);
             break;
@@ -156,7 +160,11 @@
         case FaultKind::load:
             fault.magnitude = table.number("by", std::nullopt, 0.01, 1000);
             break;
+        case FaultKind::crowd:
+            fault.magnitude = table.number("by", std::nullopt, 1, 1000);
+            break;
         case FaultKind::routerKill:
+        case FaultKind::routerTerminate:
             fault.count = table.integer("count", 1, 1, scenario.routers.count);
             break;
         case FaultKind::machinePartition: {
--- a/src/testbed/emulator/scenario.hpp
+++ b/src/testbed/emulator/scenario.hpp
@@ -140,10 +140,11 @@
     slowReader,          // cache servers read requests `magnitude` ms later
     unresponsive,        // one-way loss: requests arrive, replies are lost
     malformedResponses,  // a share `magnitude` of replies is malformed
-    originStop,          // the origin stops and returns when the fault ends
-    originSlow,          // the origin runs slower by the factor `magnitude`
-    discoveryDown,       // polls fail
-    discoverySilent,     // polls are never answered
+    slowReplies,    // a share `magnitude` of replies has its value sent late or slowly, by caches and origin
+    originStop,     // the origin stops and returns when the fault ends
+    originSlow,     // the origin runs slower by the factor `magnitude`
+    discoveryDown,  // polls fail
+    discoverySilent,  // polls are never answered
     discoverySlow,  // polls are answered up to `magnitude` ms later, at random down to three quarters of that
     discoveryRefuse,  // a share `magnitude` of polls is answered 503
     discoveryMove,    // discovery moves to another address, and the routers get SIGHUP
@@ -153,8 +154,12 @@
     load,             // the load is multiplied by `magnitude`
     routerKill,       // SIGKILL to `count` routers, which are restarted
     routerRestart,    // SIGTERM to all routers, one after another
-    routerUpgrade,    // all routers hot restart, one after another
-    reload,           // SIGHUP to all routers
+    // `count` routers get SIGHUP, SIGTERM and, when the deployment's longest timeout and 0.7 s have passed,
+    // SIGKILL; clients use their open connections until then.
+    routerTerminate,
+    crowd,          // `magnitude` clients connect to each router and send nothing
+    routerUpgrade,  // all routers hot restart, one after another
+    reload,         // SIGHUP to all routers
     // Faults of the routers' processes, injected by a preloaded library.
     callsFail,        // a share `magnitude` of the system calls `call` fails with the given `effect`
     wallClockOffset,  // the wall clock that all machines share is `magnitude` ms ahead; behind if negative
--- a/src/testbed/soak/draw.cpp
+++ b/src/testbed/soak/draw.cpp
@@ -76,6 +76,12 @@
     FaultKind::replace,
     FaultKind::discoverySlow,
     FaultKind::discoveryRefuse,
+    FaultKind::slowReplies,
+    FaultKind::slowReplies,
+    FaultKind::slowReplies,
+    FaultKind::routerTerminate,
+    FaultKind::routerTerminate,
+    FaultKind::crowd,
 };
 
 class ScenarioGenerator {
@@ -120,9 +126,9 @@
     }
 
     static bool isExclusive(FaultKind kind) {
-        constexpr FaultKind kMayOverlap[]{FaultKind::crash,     FaultKind::hang,         FaultKind::replace,
-                                          FaultKind::drain,     FaultKind::clientsLeave, FaultKind::reload,
-                                          FaultKind::routerKill};
+        constexpr FaultKind kMayOverlap[]{
+            FaultKind::crash,        FaultKind::hang,   FaultKind::replace,    FaultKind::drain,
+            FaultKind::clientsLeave, FaultKind::reload, FaultKind::routerKill, FaultKind::routerTerminate};
         return std::find(std::begin(kMayOverlap), std::end(kMayOverlap), kind) == std::end(kMayOverlap);
     }
 
@@ -142,6 +148,16 @@
             case FaultKind::clientsLeave:
                 fault.magnitude = between(0.1, 0.6);
                 break;
+            case FaultKind::slowReplies:
+                fault.magnitude = between(0.05, 0.5);
+                break;
+            case FaultKind::crowd:
+                fault.magnitude = between(20, 150);
+                break;
+            case FaultKind::routerTerminate:
+                fault.count = 1 + random_.integerBelow(std::max(day_.routers.count / 3, 1));
+                fault.length = 0;
+                break;
             case FaultKind::originSlow:
                 fault.magnitude = between(1.2, 3);
                 break;
--- a/tests/testbed_emulator_test.cpp
+++ b/tests/testbed_emulator_test.cpp
@@ -509,3 +509,49 @@
         CHECK(run.violatedRules() == (isKnown ? "cold" : ""));
     }
 }
+
+// Each check of late and slow replies has to be able to fail, and to pass where the rules allow it.
+TEST_CASE("The audit judges replies that arrive late or slowly") {
+    const auto rulesOf = [](const auto& events) {
+        RunFixture fixture;
+        fixture.asked(0, 1, "read");
+        fixture.sent(10 * ms, 1, 1, 1);
+        fixture.addEvent(20 * ms, EventKind::slowReplyBegun, 1, 1, 0, 0, "pause=900 length=9 rate=9");
+        events(fixture);
+        return fixture.violatedRules();
+    };
+    const auto add = [](RunFixture& fixture, Nanos at, EventKind kind, std::int64_t number = 0,
+                        const std::string& text = "") {
+        fixture.addEvent(at, kind, 1, kind == EventKind::slowReplyCut ? 1 : -1, 0, number, text);
+    };
+    CHECK(rulesOf([&](auto& fixture) {  // refused with time left
+              add(fixture, 300 * ms, EventKind::slowReplyCut, 0, "closed");
+              add(fixture, 300 * ms, EventKind::rejected);
+          }) == "cut");
+    CHECK(rulesOf([&](auto& fixture) {  // refused although a part of the value had come
+              add(fixture, 1'300 * ms, EventKind::slowReplyCut, 5'000, "closed");
+              add(fixture, 1'300 * ms, EventKind::failed);
+          }) == "cut");
+    CHECK(rulesOf([&](auto& fixture) {  // nothing but the head came until the deadline
+              add(fixture, 1'300 * ms, EventKind::slowReplyCut, 0, "closed");
+              add(fixture, 1'300 * ms, EventKind::rejected);
+          }) == "");
+    CHECK(rulesOf([&](auto& fixture) { add(fixture, 1'501 * ms, EventKind::failed); }) == "lost");
+    CHECK(rulesOf([&](auto& fixture) {  // passed on in time, complete later
+              add(fixture, 1'200 * ms, EventKind::responseBegun);
+              add(fixture, 4'000 * ms, EventKind::failed);
+          }) == "");
+    CHECK(rulesOf([&](auto& fixture) {  // broke off with its server
+              add(fixture, 900 * ms, EventKind::responseBegun);
+              add(fixture, 1'500 * ms, EventKind::slowReplyCut, 50, "broken");
+              add(fixture, 1'500 * ms, EventKind::unsent, 0, "broken");
+          }) == "");
+    CHECK(rulesOf([&](auto& fixture) {  // broke off by itself
+              add(fixture, 900 * ms, EventKind::responseBegun);
+              add(fixture, 1'500 * ms, EventKind::unsent, 0, "broken");
+          }) == "lost");
+    CHECK(rulesOf([&](auto& fixture) {  // a router that stops closes a connection with a request on it
+              add(fixture, 100 * ms, EventKind::stopping);
+              add(fixture, 400 * ms, EventKind::unsent, 0, "broken");
+          }) == "lost");
+}
--- a/tests/testbed_live_test.cpp
+++ b/tests/testbed_live_test.cpp
@@ -239,6 +239,23 @@
     }
 }
 
+// Guards against cutting off replies that arrive late or slowly, under other faults too.
+TEST_CASE("Seeded soaks keep all rules and detect a router that cuts replies off") {
+    const std::string folder = std::filesystem::path(POPPYSCALE_PROGRAM).parent_path().string();
+    const auto soak = [](const std::string& seeds, const std::string& program) {
+        return "soak " SCENARIOS "/soak.toml --routers 6 --seconds 20 " + seeds + " --program " + program;
+    };
+    BackgroundRun sound(soak("--first 1 --seeds 2", POPPYSCALE_PROGRAM));
+    BackgroundRun defective(soak("--first 1 --seeds 2", folder + "/poppyscale_defective_variant"),
+                            "POPPYSCALE_TESTBED_PROGRAM_HARM=cuts POPPYSCALE_TESTBED_PROGRAM_HARM_SIZE=200");
+    const CommandResult kept = sound.result();
+    CHECK_MESSAGE(kept.exitCode == 0, kept.output);
+    CHECK(kept.lastLine == "2 seeds: 2 kept, 0 broken, 0 void");
+    const CommandResult broken = defective.result();
+    CHECK_MESSAGE(broken.exitCode == 1, broken.output);
+    CHECK(broken.output.find("cut at ") != std::string::npos);
+}
+
 TEST_CASE("The testbed exits with 2 and names the scenario, key or program that is at fault") {
     const TemporaryFolder folder(kFolderPrefix, kMinFreeMemoryBytes);
     const std::string badScenario = writeScenario(folder, "bad", 3000, {{"zipf = 1.0", "zpif = 1.0"}}, "");
