--- a/src/process/process_lifecycle.cpp
+++ b/src/process/process_lifecycle.cpp
@@ -18,8 +18,9 @@
 // Clients continue to connect for up to 0.4 s after the signal.
 constexpr Nanos kLameDuckDuration = 480 * kMillisecond;
 // Added to the longest request timeout when draining: a response that arrives just in time still
-// has to be sent to its client.
-constexpr Nanos kLastResponseMargin = 200 * kMillisecond;
+// has to be sent to its client. A service manager may kill the process 0.7 s after that timeout, so what is
+// still unanswered gets its final response well before.
+constexpr Nanos kLastResponseMargin = 100 * kMillisecond;
 // Drain schedule after another process has replaced this one, measured from the start of the drain:
 // the first and the last close of idle connections, and the end of accepting requests on open
 // connections.
