Tests: slow responses through stop, reload, hot restart, Terminating and to slow clients

Change: five disturbances x cache server and origin x three paces (short, short beyond the deadline, long and late). Another case lets two reads wait at a hanging server, one of them sent 0.4 s after SIGTERM, and wants both final responses and the end of the process before it may be killed. The second case does not tell 0.68 s from 0.58 s.

--- a/tests/fixtures.hpp
+++ b/tests/fixtures.hpp
@@ -401,8 +401,10 @@
 
 // A router with cache servers c0, c1, ..., an origin and discovery, for which the test responds.
 struct RouterFixture {
-    explicit RouterFixture(std::size_t cacheCount = 1, nlohmann::json start = minimalStartConfig())
-        : caches(cacheCount), port(reservedPort.port), program(completeStartConfig(start)) {
+    // `operatorFile`: as of `Program`.
+    explicit RouterFixture(std::size_t cacheCount = 1, nlohmann::json start = minimalStartConfig(),
+                           const std::string& operatorFile = "")
+        : caches(cacheCount), port(reservedPort.port), program(completeStartConfig(start), operatorFile) {
         for (int tries = 0; tries < 100 && client().send("*1\r\n$4\r\nPING\r\n").readLine() != "+PONG";
              ++tries)
             usleep(50'000);
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -372,7 +372,7 @@
         accepted->discardUnread();
         if (bytesTakenByKernel() - bytesTakenBefore < largeBytes) return;
         isAbandoned = true;
-        cache.abandon(attempt);
+        cache.endTimedOut(attempt);
         loop.stop();
     });
     cache.send(openingAttempt);
--- a/tests/slow_response_test.cpp
+++ b/tests/slow_response_test.cpp
@@ -8,6 +8,7 @@
 #include <thread>
 #include <vector>
 
+#include "ctl/control_client.hpp"
 #include "fixtures.hpp"
 #include "server_threads.hpp"
 
@@ -253,3 +254,106 @@
     CHECK(client.readResponse().size() == kSlow.length);
     CHECK(client.readResponse() == "quick");
 }
+
+namespace {
+
+enum class Disturbance : std::uint8_t { stop, reload, hotRestart, serverTerminating, slowClient };
+
+// Reads a value of `length` bytes at some 200 kB/s.
+std::string readSlowly(Socket& client, std::size_t length) {
+    client.readLine();
+    std::string value;
+    constexpr std::size_t kPart = 10'000;
+    while (value.size() < length) {
+        const std::string part = client.readBytes(std::min(kPart, length - value.size()));
+        if (part.empty()) break;
+        value += part;
+        usleep(50'000);
+    }
+    client.readLine();
+    return value;
+}
+
+void disturb(const RouterFixture& fixture, Disturbance disturbance) {
+    switch (disturbance) {
+        case Disturbance::stop:
+            return fixture.program.signal(SIGTERM);
+        case Disturbance::reload:
+            return fixture.program.signal(SIGHUP);
+        case Disturbance::hotRestart: {
+            const auto answer =
+                ctl::sendRequest(fixture.program.operatorSocketPath(), {{"do", "upgrade"}}, kWaitTimeoutMs);
+            REQUIRE_MESSAGE(answer.contains("taken_over_by"), answer.dump());
+            kill(answer.at("taken_over_by").get<pid_t>(), SIGKILL);
+            return;
+        }
+        case Disturbance::serverTerminating: {
+            std::vector<nlohmann::json> entries;
+            for (std::size_t i = 0; i < fixture.caches.size(); ++i)
+                entries.push_back(entryOf("c" + std::to_string(i), fixture.caches[i], "m", "Terminating"));
+            Socket discovery = const_cast<TestServer&>(fixture.discovery).accept();
+            discovery.readHead();
+            discovery.send(
+                http(200, nlohmann::json{{"version", 8}, {"full", false}, {"servers", entries}}.dump()));
+            usleep(300'000);
+            return;
+        }
+        case Disturbance::slowClient:
+            return;
+    }
+}
+
+}  // namespace
+
+// Each of these ends or changes something beside the attempt whose response is arriving.
+TEST_CASE(
+    "a slow response is delivered whole through stop reload hot restart Terminating and to a slow client") {
+    constexpr Pace kShort{.length = 50'000, .bytesPerSecond = 40'000};
+    constexpr Pace kOverdue{.length = 60'000, .bytesPerSecond = 40'000};
+    constexpr Pace kLong{.length = 150'000, .pauseAfterHeadMs = 500, .bytesPerSecond = 150'000};
+    for (const Disturbance disturbance : {Disturbance::stop, Disturbance::reload, Disturbance::hotRestart,
+                                          Disturbance::serverTerminating, Disturbance::slowClient})
+        for (const Framing framing : {Framing::cacheServer, Framing::originWithLength})
+            for (const Pace& pace : {kShort, kOverdue, kLong}) {
+                CAPTURE(static_cast<int>(disturbance));
+                CAPTURE(static_cast<int>(framing));
+                CAPTURE(pace.length);
+                RouterFixture fixture(3, minimalStartConfig(), "[admin]\nsocket = \"{}/admin.sock\"\n");
+                SlowServers servers(fixture, pace, framing);
+                learnLatency(fixture);
+                Socket client = fixture.client();
+                const bool isOverdue = pace.length == kOverdue.length;
+                client.send(get(keyOf(0), isOverdue ? "c=read,t=north,d=900" : "c=read,t=north,d=2000"));
+                usleep(300'000);
+                disturb(fixture, disturbance);
+                const std::string value = disturbance == Disturbance::slowClient
+                                              ? readSlowly(client, pace.length)
+                                              : client.readResponse();
+                const std::string log = fixture.program.log();
+                CAPTURE(log);
+                CHECK(value == std::string(pace.length, 'v'));
+                CHECK(servers.cutResponses() == 0);
+                CHECK(servers.slowAttempts() == 1);
+            }
+}
+
+// Guards against a process that is killed, at the earliest time, before it has answered its last requests.
+TEST_CASE("a process that stops has answered requests at a hanging server when it may be killed") {
+    constexpr Pace kHangs{.length = 20'000, .hangsAfterHead = true};
+    constexpr double kLongestTimeout = 2, kEarliestKill = 0.7;
+    RouterFixture fixture(3);
+    SlowServers servers(fixture, kHangs, Framing::cacheServer);
+    Socket early = fixture.client(), late = fixture.client();
+    CHECK(late.send(array({"PING"})).readResponse() == "+PONG");
+    early.send(get(keyOf(0), "c=read,t=north,d=2000"));
+    usleep(100'000);
+    const auto stoppedAt = Clock::now();
+    fixture.program.signal(SIGTERM);
+    usleep(400'000);
+    late.send(get(keyOf(1), "c=read,t=north,d=2000"));
+    CHECK(early.readResponse().starts_with("-"));
+    CHECK(late.readResponse().starts_with("-"));
+    CHECK(secondsSince(stoppedAt) < kLongestTimeout + kEarliestKill);
+    CHECK(fixture.program.exitCode() == 0);
+    CHECK(secondsSince(stoppedAt) < kLongestTimeout + kEarliestKill);
+}
