--- a/src/testbed/audit/audit.hpp
+++ b/src/testbed/audit/audit.hpp
@@ -86,6 +86,9 @@
     void onAttemptSent(const LogEvent& entry);
     void judgeForwardedTimeout(const LogEvent& entry, const Request& request);
     void noteClockFault(const LogEvent& entry);
+    void noteCallFault(const LogEvent& entry);
+    // Whether the routers' system calls may report that a sound connection has ended.
+    bool areConnectionsFailing(Nanos at) const;
     void onAnswered(const LogEvent& entry);
     void onRejected(const LogEvent& entry);
     void onServerOverloaded(const LogEvent& entry);
@@ -114,6 +117,8 @@
     struct Interval {
         Nanos from, to;
     };
+    // By call and error: intervals in which system calls report that the peer of a connection is gone.
+    std::map<std::string, std::vector<Interval>> connectionFaults_;
     std::vector<Interval> clockFaults_;  // intervals in which a machine's monotonic clock is wrong
     static bool overlapsAny(const std::vector<Interval>& intervals, Nanos from, Nanos to);
     void onClaim(const LogEvent& entry);
--- a/src/testbed/emulator/emulated_deployment.cpp
+++ b/src/testbed/emulator/emulated_deployment.cpp
@@ -28,6 +28,12 @@
 
 std::size_t toIndex(int index) { return static_cast<std::size_t>(index); }
 
+// The text of a `fault` event, after its first word.
+std::string describe(const FaultPlan& fault) {
+    if (fault.kind != FaultKind::callsFail) return fmt::format("{} {}", nameOf(fault.kind), fault.zone);
+    return fmt::format("{} {} {}", nameOf(fault.kind), fault.call, fault.effect);
+}
+
 // The text of a `sent` event: the timeout that the attempt forwards to its server.
 std::string forwardedTimeoutText(const ReceivedAttempt& attempt) {
     if (!attempt.forwardedTimeoutMs) return "";
@@ -994,7 +1000,7 @@
 }
 
 void EmulatedDeployment::injectFault(Nanos now, const FaultPlan& fault) {
-    log(now, EventKind::fault, 0, -1, -1, 0, 0, fmt::format("begins {} {}", nameOf(fault.kind), fault.zone));
+    log(now, EventKind::fault, 0, -1, -1, 0, 0, "begins " + describe(fault));
     std::vector<int> affected;
     const auto forDrawnCaches = [&](auto action) {
         affected = drawCaches(fault.count);
@@ -1199,7 +1205,7 @@
 }
 
 void EmulatedDeployment::clearFault(Nanos now, const FaultPlan& fault, const std::vector<int>& affected) {
-    log(now, EventKind::fault, 0, -1, -1, 0, 0, fmt::format("ends {} {}", nameOf(fault.kind), fault.zone));
+    log(now, EventKind::fault, 0, -1, -1, 0, 0, "ends " + describe(fault));
     if (fault.kind == FaultKind::wallClockOffset) wallClockOffset_ = 0;
     if (fault.kind >= FaultKind::callsFail && fault.kind <= FaultKind::eventLoopDelay)
         return transport_.injectProcessFault(fault, false);
