--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -265,10 +265,10 @@
     const Nanos now = transport::EventLoop::now();
     const std::size_t missing = decoder_.expectedBytes() - decoder_.bufferedBytes();
     const std::size_t unread = connection_.unreadBytes();
-    if (unread > unreadAtLastCheck_) lastUnreadArrivalAt_ = now;
+    const bool isComplete = unread + unparsed_.size() >= missing;
+    if (isComplete || unread > unreadAtLastCheck_) lastUnreadArrivalAt_ = now;
     unreadAtLastCheck_ = unread;
     reservationCheckAt_ = now + kReservationCheckInterval;
-    const bool isComplete = unread + unparsed_.size() >= missing;
     const bool isGranted =
         isComplete && owner_.requestBudget().tryReserveComplete(*this, awaitedReservation_);
     if (isGranted) onReservationGranted();
--- a/tests/slow_response_test.cpp
+++ b/tests/slow_response_test.cpp
@@ -19,6 +19,7 @@
 
 using Clock = std::chrono::steady_clock;
 constexpr double kMaxLateness = 0.5;  // seconds after a request's timeout
+constexpr int kHangMs = 4'000;        // how long a server hangs unless the router ends the connection
 
 double secondsSince(Clock::time_point start) {
     return std::chrono::duration<double>(Clock::now() - start).count();
@@ -50,14 +51,14 @@
     }
     usleep(static_cast<useconds_t>(pace.pauseAfterHeadMs) * 1'000);
     if (pace.hangsAfterHead) {
-        usleep(4'000'000);
+        socket.isQuiet(kHangMs);
         return false;
     }
     constexpr int kPieceMs = 20;
     const std::size_t piece = pace.bytesPerSecond ? pace.bytesPerSecond * kPieceMs / 1'000 : rest.size();
     for (std::size_t at = 0; at < rest.size(); at += piece) {
         if (pace.hangsAfter && at >= pace.hangsAfter) {
-            usleep(4'000'000);
+            socket.isQuiet(kHangMs);
             return false;
         }
         socket.send(std::string_view(rest).substr(at, piece));
