Test of slow writers: fewer clients than the limit above which idle connections are closed

Cause: in a run of the whole script 8 of 300 connections were closed at 30 kB/s. Not seen in 2 runs beside eight busy processes and 5 at once. Traced by a longer pause of the test between two requests of a client: 23 connections are closed after 0 bytes of the next request with 300 clients, none with 240. At 32 MB 488 clients are allowed; of more than half, 244, those that are idle for 0.1 s may be closed, whatever they do next, and the test, delayed by other tests, had paused that long. Change: 240 clients, checks unchanged.

--- a/tests/slow_writer_test.cpp
+++ b/tests/slow_writer_test.cpp
@@ -95,7 +95,9 @@
 
 // Guards against closing connections, to free memory, whose clients are writing a request.
 TEST_CASE("clients that write long requests are slowed down and not closed when memory is short") {
-    constexpr int kClients = 300, kRequests = 2, kTickMs = 20;
+    // Of more than half of the clients that the limits allow (244), those that are idle for 0.1 s may be
+    // closed.
+    constexpr int kClients = 240, kRequests = 2, kTickMs = 20;
     for (const std::size_t bytesPerSecond : {std::size_t{30'000}, std::size_t{0}}) {
         CAPTURE(bytesPerSecond);
         RouterFixture fixture(1, startConfigWithMemory(32));
