Count and log why attempts are sent to cache servers that are warming up

Log and metrics do not tell whether an attempt at it was the preferred first one after the readmission or one within its slow-start budget. Change: the metrics on the operators' socket have `warmup_attempts` (preferred, within budget, budget found spent), and a router logs the first attempt after a readmission with its delay and its reason. `CandidateSelector::Selection` carries the reason from the choice to `SlowStart`, which counts. No decision changes.

--- a/src/policy/candidate_selector.cpp
+++ b/src/policy/candidate_selector.cpp
@@ -30,13 +30,13 @@
 
 CandidateSelector::Selection CandidateSelector::select(Request& request, Nanos now) {
     if (request.isUnservable()) return {};
-    if (!parts_.settings.cacheAside) return {selectCacheServer(request, now)};
+    if (!parts_.settings.cacheAside) return selectCacheServer(request, now);
     if (request.isWrite()) return {selectOrigin(request, now)};
     const bool isLastAttempt = parts_.retryPolicy.attemptsLeft(request) <= 1;
     const bool mayBeCached = !isLastAttempt && isHinted(request, now);
     if (!mayBeCached && parts_.originFetches.isInFlight(request.key())) return {nullptr, true};
     const bool isUntried = request.missedAt().empty() && request.candidates.servers.front();
-    if (mayBeCached || (isUntried && !isLastAttempt)) return {selectCacheServer(request, now)};
+    if (mayBeCached || (isUntried && !isLastAttempt)) return selectCacheServer(request, now);
     return {selectOrigin(request, now)};
 }
 
@@ -47,15 +47,20 @@
     });
 }
 
-Server* CandidateSelector::selectCacheServer(Request& request, Nanos now) {
-    auto candidates = parts_.ranking.candidatesFor(request, now).servers;
-    if (parts_.zoneAffinity.isActive() && request.hasFailedAttempt())
-        std::rotate(candidates.begin(), candidates.begin() + kPreferredCandidates, candidates.end());
+CandidateSelector::Selection CandidateSelector::selectCacheServer(Request& request, Nanos now) {
+    const CandidateList& candidates = parts_.ranking.candidatesFor(request, now);
     // A readmitted server gets the next safe request. Otherwise a router with little traffic might
     // not try it for a long time, since all of the server's keys are cached elsewhere by now.
     Server* awaiting = parts_.ranking.awaitingFirstAttempt();
     const bool isSafe = request.requestClass().idempotency == Idempotency::safe;
-    if (awaiting && isSafe && canServe(request, *awaiting, now)) return awaiting;
+    if (awaiting && isSafe && canServe(request, *awaiting, now)) return {awaiting, false, true};
+    return {selectCandidate(request, candidates, now)};
+}
+
+Server* CandidateSelector::selectCandidate(const Request& request, const CandidateList& list, Nanos now) {
+    auto candidates = list.servers;
+    if (parts_.zoneAffinity.isActive() && request.hasFailedAttempt())
+        std::rotate(candidates.begin(), candidates.begin() + kPreferredCandidates, candidates.end());
     const double threshold = busyThreshold();
     Server* fallback = nullptr;
     for (const bool isHinted : {true, false}) {
--- a/src/policy/candidate_selector.hpp
+++ b/src/policy/candidate_selector.hpp
@@ -6,6 +6,7 @@
 
 namespace poppyscale::policy {
 
+struct CandidateList;
 class ConcurrencyLimiter;
 class EndpointRegistry;
 class LatencyStatistics;
@@ -43,6 +44,8 @@
     struct Selection {
         Server* server = nullptr;  // null if no server may be sent the request now
         bool awaitsFetch = false;  // another request is fetching the key from the origin
+        // The server awaits its first attempt after a readmission, and is preferred to the candidates.
+        bool isPreferred = false;
     };
 
     explicit CandidateSelector(const Parts& parts) : parts_(parts) {}
@@ -53,7 +56,9 @@
     bool isHinted(Request& request, Nanos now);
 
   private:
-    Server* selectCacheServer(Request& request, Nanos now);
+    Selection selectCacheServer(Request& request, Nanos now);
+    // Chooses among the candidates for the request's key.
+    Server* selectCandidate(const Request& request, const CandidateList& list, Nanos now);
     Server* selectLastResort(const Request& request, Server* candidate, Server* fallback, double threshold,
                              Nanos now);
     Server* selectOrigin(const Request& request, Nanos now);
--- a/src/policy/routing_policy.cpp
+++ b/src/policy/routing_policy.cpp
@@ -284,7 +284,7 @@
     if (!request.isClosed()) {
         const CandidateSelector::Selection selection = selector_.select(request, now);
         if (selection.server) {
-            startAttempt(request, *selection.server, now);
+            startAttempt(request, selection, now);
             return false;
         }
         const Nanos responseDeadline = std::min(request.objectiveDeadline(), request.deadline());
@@ -307,7 +307,8 @@
     return request.candidates.servers.front() || !registry_.origins().empty();
 }
 
-void RoutingPolicy::startAttempt(Request& request, Server& server, Nanos now) {
+void RoutingPolicy::startAttempt(Request& request, const CandidateSelector::Selection& selection, Nanos now) {
+    Server& server = *selection.server;
     if (request.mayHaveExecuted(server.isOrigin())) server.retryCredit.spend();
     if (request.tenantUsage() && request.attempts().empty())
         tenantFairness_.recordForwarded(*request.tenantUsage(), now);
@@ -321,13 +322,20 @@
         originFetches_.onAttemptStarted(request);
     else
         totalLimiter_.onAttemptStarted();
-    server.warmupBudget.spend();
+    slowStart_.onAttemptStarted(server, selection.isPreferred, now);
     if (server.awaitsFirstAttempt()) {
+        logFirstAttempt(server, selection.isPreferred, now);
         server.endWaitForFirstAttempt();
         ranking_.invalidate();
     }
 }
 
+void RoutingPolicy::logFirstAttempt(const Server& server, bool isPreferred, Nanos now) {
+    host_.log("cache server " + server.name() + " gets its first attempt " +
+              std::to_string((now - server.readmittedAt()) / kMillisecond) + " ms after its readmission, " +
+              (isPreferred ? "preferred to the candidates of the key" : "as a candidate of the key"));
+}
+
 void RoutingPolicy::respondFinally(Request& request, Nanos now) {
     if (retryPolicy_.mayReject(request)) {
         // Up to half of Retry-After is random, since clients with equal values would all retry at
--- a/src/policy/routing_policy.hpp
+++ b/src/policy/routing_policy.hpp
@@ -67,6 +67,7 @@
     // The state of each known server, in the order in which the servers were first listed, the origin
     // last.
     std::vector<EndpointStatus> endpointStatuses(Nanos now);
+    const WarmupAttemptCounts& warmupAttemptCounts() const { return slowStart_.counts(); }
 
   private:
     policy::RequestProperties propertiesOf(const IncomingRequest& incoming, Nanos now);
@@ -82,7 +83,9 @@
     void pollIfDue(Nanos now);
     bool processWaiting(policy::Request& request, Nanos now, Nanos& wakeupAt);
     bool mayWait(const policy::Request& request, bool awaitsFetch, Nanos latestStart, Nanos now);
-    void startAttempt(policy::Request& request, policy::Server& server, Nanos now);
+    void startAttempt(policy::Request& request, const policy::CandidateSelector::Selection& selection,
+                      Nanos now);
+    void logFirstAttempt(const policy::Server& server, bool isPreferred, Nanos now);
     void respondFinally(policy::Request& request, Nanos now);
     void scheduleWakeup(Nanos now, Nanos at);
     EndpointStatus statusOf(policy::Server& server, Nanos now) const;
--- a/src/policy/server.hpp
+++ b/src/policy/server.hpp
@@ -34,6 +34,8 @@
     const Endpoint& endpoint() const { return endpoint_; }
     // Whether an operator's ejection was lifted and no attempt has been sent to the server since.
     bool awaitsFirstAttempt() const { return awaitsFirstAttempt_; }
+    // When an operator's ejection was last lifted; before all other times if none was.
+    Nanos readmittedAt() const { return readmittedAt_; }
 
     // Applies an entry of the endpoint list.
     void applyListing(const Endpoint& listed, Nanos startedAt, double weight);
--- a/src/policy/slow_start.cpp
+++ b/src/policy/slow_start.cpp
@@ -54,7 +54,18 @@
     updateThroughput(now);
     const double rate =
         kSafetyMargin * settings_.overloadMultiple * fraction * throughput_ * server.endpoint().weight;
-    return server.warmupBudget.fill(rate, window_, now, random);
+    const bool isWithinBudget = server.warmupBudget.fill(rate, window_, now, random);
+    if (!isWithinBudget) ++counts_.withoutBudget;
+    return isWithinBudget;
+}
+
+void SlowStart::onAttemptStarted(Server& server, bool isPreferred, Nanos now) {
+    server.warmupBudget.spend();
+    if (server.isOrigin() || !isWarmingUp(server, now)) return;
+    if (isPreferred)
+        ++counts_.preferred;
+    else
+        ++counts_.withinBudget;
 }
 
 void SlowStart::setWarmWeight(double weight, Nanos now) {
--- a/src/policy/slow_start.hpp
+++ b/src/policy/slow_start.hpp
@@ -4,6 +4,7 @@
 #include "base/decaying_sum.hpp"
 #include "base/time.hpp"
 #include "policy/settings.hpp"
+#include "policy/types.hpp"
 
 namespace poppyscale::policy {
 
@@ -47,6 +48,9 @@
     Nanos stepDuration() const;
     // Whether an attempt may be sent to `server`; fills its budget.
     bool hasBudget(Server& server, Nanos now, Random& random);
+    // An attempt at `server` is started. `isPreferred`: the server was not chosen as a candidate.
+    void onAttemptStarted(Server& server, bool isPreferred, Nanos now);
+    const WarmupAttemptCounts& counts() const { return counts_; }
     // Records an answer of a cache server that is warmed up.
     void recordAnswerOfWarmServer(Nanos now) { answers_.add(now, 1); }
     // `weight`: the sum of the weights of the usable cache servers that are warmed up.
@@ -57,6 +61,7 @@
 
     const PolicySettings& settings_;
     const Nanos window_;
+    WarmupAttemptCounts counts_;
     DecayingSum answers_;
     double warmWeight_ = 0;
     double throughput_ = 0;  // answers per window of a warmed-up server of weight 1
--- a/src/policy/types.hpp
+++ b/src/policy/types.hpp
@@ -85,6 +85,14 @@
     ReadThroughResult readThrough = ReadThroughResult::unknown;
 };
 
+// Why attempts were sent to cache servers that were warming up; counted since the policy was created.
+struct WarmupAttemptCounts {
+    // First attempts after a readmission, sent to a server whether or not it was a candidate.
+    std::uint64_t preferred = 0;
+    std::uint64_t withinBudget = 0;   // attempts at a candidate within its slow-start budget
+    std::uint64_t withoutBudget = 0;  // checks that found a candidate's slow-start budget spent
+};
+
 // The state of a server in the policy; for display only.
 struct EndpointStatus {
     std::string name;
--- a/src/process/status_report.cpp
+++ b/src/process/status_report.cpp
@@ -81,6 +81,12 @@
             {"aside_ms", std::max<std::int64_t>(toMillis(endpoint.ejectedUntil - now), 0)}};
 }
 
+nlohmann::json toJson(const WarmupAttemptCounts& counts) {
+    return {{"preferred", counts.preferred},
+            {"within_budget", counts.withinBudget},
+            {"without_budget", counts.withoutBudget}};
+}
+
 }  // namespace
 
 StatusReport::StatusReport(const ActiveConfig& config, DataPath& dataPath, const ProcessLifecycle& lifecycle,
@@ -152,6 +158,7 @@
                    {"list_calls", watcher ? watcher->pollCount() : 0},
                    {"guard", dispatcher.guard().json()},
                    {"attempts_ended", dispatcher.attemptEnds().json()},
+                   {"warmup_attempts", toJson(dispatcher.warmupAttemptCounts())},
                    {"caches_ready", readyCaches},
                    {"caches_listed", listedCaches},
                    {"memory_kb", residentMemoryKb()},
--- a/src/proxy/request_dispatcher.hpp
+++ b/src/proxy/request_dispatcher.hpp
@@ -83,6 +83,7 @@
     std::vector<EndpointStatus> endpointStatuses() {
         return policy_.endpointStatuses(transport::EventLoop::now());
     }
+    const WarmupAttemptCounts& warmupAttemptCounts() const { return policy_.warmupAttemptCounts(); }
     // Why an operator can't eject or readmit that server; empty if that is possible.
     std::string ejectionProblem(const std::string& name) const { return servers_.ejectionProblem(name); }
     // Ejects a cache server for an operator, or readmits it. After an ejection, no attempt starts
