Send a readmitted server first attempts within the slow start of the whole fleet

Change: `FirstAttemptSchedule` decides, once per overload window and at random, with a router's part of what all routers may send: the overload multiple of the present fraction of the server's known load. A share without a request lapses, a second readmission starts no new window, a drain that ends starts the schedule again. Routers that still owe the attempt have no other budget. A safe request's first attempt at a server that warms up after a readmission ends in time for another, which needs no credit. The origin, if readmitted, has no slow start and keeps its latency target. Several servers may await their first attempts.

--- a/src/policy/candidate_selector.cpp
+++ b/src/policy/candidate_selector.cpp
@@ -49,14 +49,20 @@
 
 CandidateSelector::Selection CandidateSelector::selectCacheServer(Request& request, Nanos now) {
     const CandidateList& candidates = parts_.ranking.candidatesFor(request, now);
-    // A readmitted server gets the next safe request. Otherwise a router with little traffic might
-    // not try it for a long time, since all of the server's keys are cached elsewhere by now.
-    Server* awaiting = parts_.ranking.awaitingFirstAttempt();
-    const bool isSafe = request.requestClass().idempotency == Idempotency::safe;
-    if (awaiting && isSafe && canServe(request, *awaiting, now)) return {awaiting, false, true};
+    if (Server* readmitted = selectForFirstAttempt(request, now)) return {readmitted, false, true};
     return {selectCandidate(request, candidates, now)};
 }
 
+Server* CandidateSelector::selectForFirstAttempt(const Request& request, Nanos now) {
+    const auto& awaiting = parts_.ranking.awaitingFirstAttempt();
+    if (awaiting.empty() || !parts_.retryPolicy.mayBeRepeatedInTime(request, now)) return nullptr;
+    for (Server* server : awaiting)
+        if (isAllowed(request, *server, now) &&
+            parts_.slowStart.isFirstAttemptDue(*server, now, parts_.random))
+            return server;
+    return nullptr;
+}
+
 Server* CandidateSelector::selectCandidate(const Request& request, const CandidateList& list, Nanos now) {
     auto candidates = list.servers;
     if (parts_.zoneAffinity.isActive() && request.hasFailedAttempt())
@@ -104,25 +110,29 @@
     return parts_.originFetches.hasCapacity(request, *leastLoaded) ? leastLoaded : nullptr;
 }
 
-// Apart from hasFailedAt(), checks that draw no random number come first. The slow-start budget
-// comes last, because the check itself fills the budget.
+// The slow-start budget comes last, because the check itself fills the budget.
 bool CandidateSelector::canServe(const Request& request, Server& server, Nanos now) {
+    return isAllowed(request, server, now) && parts_.slowStart.hasBudget(server, now, parts_.random);
+}
+
+// Apart from hasFailedAt(), checks that draw no random number come first.
+bool CandidateSelector::isAllowed(const Request& request, const Server& server, Nanos now) {
     if (!server.limiter.hasCapacity(now, request.isOverQuota())) return false;
     if (!server.isOrigin() && !parts_.totalLimiter.hasCapacity(now, request.isOverQuota())) return false;
     if (!parts_.retryPolicy.mayAttempt(request, server, now)) return false;
     if (request.isOverQuota() && parts_.statistics.isUnderPressure()) return false;
     if (!parts_.retryPolicy.hasCredit(request, server, parts_.random)) return false;
-    if (hasFailedAt(request, server)) return false;
-    return parts_.slowStart.hasBudget(server, now, parts_.random);
+    return !hasFailedAt(request, server);
 }
 
 // False for the origin, which may be attempted again: nothing else has the keys that are not
 // cached.
 bool CandidateSelector::hasFailedAt(const Request& request, const Server& server) const {
-    if (!request.hasFailedAttempt() || server.isOrigin()) return false;
+    if (server.isOrigin()) return false;
     const auto& attempts = request.attempts();
-    return std::any_of(attempts.begin(), attempts.end(),
-                       [&](const Attempt& attempt) { return attempt.server.get() == &server; });
+    return std::any_of(attempts.begin(), attempts.end(), [&](const Attempt& attempt) {
+        return attempt.server.get() == &server && (request.hasFailedAttempt() || attempt.allowsFreeRetry);
+    });
 }
 
 // The number of attempts in flight from which a server counts as busy.
--- a/src/policy/candidate_selector.hpp
+++ b/src/policy/candidate_selector.hpp
@@ -57,12 +57,16 @@
 
   private:
     Selection selectCacheServer(Request& request, Nanos now);
+    // A readmitted server whose first attempt is due, whatever the request's key; null if there is none.
+    Server* selectForFirstAttempt(const Request& request, Nanos now);
     // Chooses among the candidates for the request's key.
     Server* selectCandidate(const Request& request, const CandidateList& list, Nanos now);
     Server* selectLastResort(const Request& request, Server* candidate, Server* fallback, double threshold,
                              Nanos now);
     Server* selectOrigin(const Request& request, Nanos now);
     bool canServe(const Request& request, Server& server, Nanos now);
+    // All checks of canServe() but that of the slow start.
+    bool isAllowed(const Request& request, const Server& server, Nanos now);
     bool hasFailedAt(const Request& request, const Server& server) const;
     double busyThreshold() const;
     bool isBusy(const Request& request, Server& server, double threshold, Nanos now);
--- a/src/policy/endpoint_registry.cpp
+++ b/src/policy/endpoint_registry.cpp
@@ -41,7 +41,7 @@
     const bool hasStateChanged = listed.state != server->endpoint().state;
     if (hasStartChanged) server->warmupBudget.fillFrom(now);
     if (settings_.weightsFollowLoad) server->loadReport.setListedWeight(listed.weight);
-    server->applyListing(listed, startedAt, weightOf(listed, *server));
+    server->applyListing(listed, startedAt, weightOf(listed, *server), now);
     return isNew || hasStartChanged || hasStateChanged;
 }
 
--- a/src/policy/rendezvous_ranking.cpp
+++ b/src/policy/rendezvous_ranking.cpp
@@ -20,31 +20,34 @@
 
 void RendezvousRanking::rebuild(Nanos now) {
     builtVersion_ = version_;
-    awaitingFirstAttempt_ = nullptr;
+    awaitingFirstAttempt_.clear();
     entries_.clear();
     expiresAt_ = kNever;
     zoneAffinity_.rebuild(now);
     double warmWeight = 0;
+    int warmCount = 0;
     for (Server* server : registry_.cacheServers()) {
         if (!registry_.isUsable(*server)) continue;
-        if (server->awaitsFirstAttempt()) awaitingFirstAttempt_ = server;
         const double warmupFraction = slowStart_.warmupFraction(*server, now);
-        if (warmupFraction < 1)
+        if (warmupFraction < 1) {
             expiresAt_ = std::min(expiresAt_, now + slowStart_.stepDuration());
-        else
+        } else {
             warmWeight += server->endpoint().weight;
+            ++warmCount;
+        }
         if (server->outcomes.isEjected(now))
             expiresAt_ = std::min(expiresAt_, server->outcomes.ejectedUntil());
         else
             addEntry(*server, warmupFraction);
     }
-    slowStart_.setWarmWeight(warmWeight, now);
+    slowStart_.setWarmServers(warmWeight, warmCount, now);
 }
 
 void RendezvousRanking::addEntry(Server& server, double warmupFraction) {
     const double weight = server.endpoint().weight * warmupFraction;
     const double zonedWeight = weight * zoneAffinity_.weightFactor(server, warmupFraction);
     entries_.push_back({server.hash(), weight, zonedWeight, &server});
+    if (server.firstAttempt.isAwaited()) awaitingFirstAttempt_.push_back(&server);
 }
 
 const CandidateList& RendezvousRanking::candidatesFor(Request& request, Nanos now) {
--- a/src/policy/rendezvous_ranking.hpp
+++ b/src/policy/rendezvous_ranking.hpp
@@ -38,9 +38,9 @@
     const CandidateList& candidatesFor(Request& request, Nanos now);
     // The number of servers that can be candidates, as of the last rebuild.
     std::size_t size() const { return entries_.size(); }
-    // A server that has had no attempt since an operator's ejection was lifted, as of the last
-    // rebuild; null if there is none.
-    Server* awaitingFirstAttempt() const { return awaitingFirstAttempt_; }
+    // The candidates that have had no attempt since an operator's ejection was lifted, as of the last
+    // rebuild.
+    const std::vector<Server*>& awaitingFirstAttempt() const { return awaitingFirstAttempt_; }
 
   private:
     struct Entry {
@@ -64,7 +64,7 @@
     SlowStart& slowStart_;
     ZoneAffinity& zoneAffinity_;
     std::vector<Entry> entries_;
-    Server* awaitingFirstAttempt_ = nullptr;
+    std::vector<Server*> awaitingFirstAttempt_;
     std::uint64_t version_ = 1;
     std::uint64_t builtVersion_ = 0;
     Nanos expiresAt_ = 0;
--- a/src/policy/request.cpp
+++ b/src/policy/request.cpp
@@ -18,8 +18,8 @@
     return nullptr;
 }
 
-void Request::startAttempt(Server& server, Nanos now) {
-    attempts_.push_back({sharedServer(server), now, AttemptState::inFlight});
+void Request::startAttempt(Server& server, bool allowsFreeRetry, Nanos now) {
+    attempts_.push_back({sharedServer(server), now, AttemptState::inFlight, allowsFreeRetry});
     state_ = RequestState::inFlight;
 }
 
@@ -37,9 +37,9 @@
 
 void Request::queue(AttemptOutcome outcome, bool isServable) {
     const Attempt& last = attempts_.back();
-    if (outcome != AttemptOutcome::cacheMiss) hasFailedAttempt_ = true;
+    if (outcome != AttemptOutcome::cacheMiss && !last.allowsFreeRetry) hasFailedAttempt_ = true;
     if (last.state == AttemptState::mayHaveExecuted) {
-        mayHaveExecuted_[last.server->isOrigin() ? 1 : 0] = true;
+        if (!last.allowsFreeRetry) needsRetryCredit_[last.server->isOrigin() ? 1 : 0] = true;
         if (requestClass().idempotency == Idempotency::idempotentWithKey)
             latestStart_ = std::min(latestStart_, last.startedAt + requestClass().idempotencyKeyTtl);
     }
--- a/src/policy/request.hpp
+++ b/src/policy/request.hpp
@@ -32,6 +32,8 @@
     std::shared_ptr<Server> server;
     Nanos startedAt = 0;
     AttemptState state = AttemptState::inFlight;
+    // Another attempt after this one needs no retry credit: the server was expected to be slow.
+    bool allowsFreeRetry = false;
 };
 
 enum class RequestState : std::uint8_t {
@@ -89,11 +91,15 @@
     // The first attempt that may have executed the request, in flight or ended; null if there is
     // none.
     const Attempt* firstThatMayHaveExecuted() const;
-    // Whether an ended attempt may have executed the request: at the origin if `atOrigin` is true,
-    // else at a cache server.
-    bool mayHaveExecuted(bool atOrigin) const { return mayHaveExecuted_[atOrigin ? 1 : 0]; }
-    // Whether an attempt ended with anything but success or a cache miss.
+    // Whether another attempt needs retry credit: an ended one that does not allow a free retry may have
+    // executed the request, at the origin if `atOrigin` is true, else at a cache server.
+    bool needsRetryCredit(bool atOrigin) const { return needsRetryCredit_[atOrigin ? 1 : 0]; }
+    // Whether an attempt that does not allow a free retry ended with anything but success or a cache miss.
     bool hasFailedAttempt() const { return hasFailedAttempt_; }
+    // Whether the last attempt has ended and allows a free retry.
+    bool hasFreeRetry() const {
+        return isWaiting() && !attempts_.empty() && attempts_.back().allowsFreeRetry;
+    }
     // Whether an attempt ended with a cache miss at a server that was warming up.
     bool hasMissedAtWarmingServer() const { return hasMissedAtWarmingServer_; }
     // The cache servers at which attempts ended with a cache miss.
@@ -102,7 +108,7 @@
     // remembered.
     Nanos latestStart() const { return latestStart_; }
 
-    void startAttempt(Server& server, Nanos now);
+    void startAttempt(Server& server, bool allowsFreeRetry, Nanos now);
     // The attempt with this number; null if it is not in flight.
     const Attempt* findInFlight(int attempt) const;
     // Ends the attempt in flight. The request is then closed, or queue() follows.
@@ -123,8 +129,7 @@
     RequestState state_;
     std::vector<Attempt> attempts_;
     std::vector<std::shared_ptr<Server>> missedAt_;
-    // Whether an ended attempt may have executed the request: [0] at a cache server, [1] at the origin.
-    std::array<bool, 2> mayHaveExecuted_{};
+    std::array<bool, 2> needsRetryCredit_{};  // [0] at a cache server, [1] at the origin
     bool hasFailedAttempt_ = false;
     bool hasMissedAtWarmingServer_ = false;
     Nanos latestStart_ = kNever;
--- a/src/policy/retry_policy.cpp
+++ b/src/policy/retry_policy.cpp
@@ -14,6 +14,8 @@
 
 constexpr double kCreditPerSuccess = 0.2;
 constexpr double kMaxCredit = 10;
+// An attempt that takes more than this many mean latencies is unusually slow.
+constexpr Nanos kUsualMeanLatencies = 4;
 
 bool isInScope(DeduplicationScope scope, const Server& server, const Server& first) {
     switch (scope) {
@@ -53,6 +55,11 @@
     return false;
 }
 
+bool RetryPolicy::mayBeRepeatedInTime(const Request& request, Nanos now) const {
+    return request.requestClass().idempotency == Idempotency::safe && request.attempts().empty() &&
+           attemptsLeft(request) > 1 && now < request.deadline();
+}
+
 bool RetryPolicy::mayReject(const Request& request) const {
     if (!request.isWaiting()) return false;
     if (!request.firstThatMayHaveExecuted()) return true;
@@ -69,7 +76,7 @@
 }
 
 bool RetryPolicy::hasCredit(const Request& request, const Server& server, Random& random) const {
-    if (!request.mayHaveExecuted(server.isOrigin())) return true;
+    if (!request.needsRetryCredit(server.isOrigin())) return true;
     return server.retryCredit.isEnough(random.sample());
 }
 
@@ -83,11 +90,21 @@
     // Without enough latency samples, a guessed timeout would get slow servers ejected at once.
     if (settings_.weightsFollowLoad || !totalLimiter.hasEnoughSamples()) return request.deadline();
     const Nanos meanLatency = statistics.meanLatency(now);
-    const Nanos earlyDeadline = now + std::max(4 * meanLatency, requestClass.latencyObjective / 2);
+    const Nanos earlyDeadline =
+        now + std::max(kUsualMeanLatencies * meanLatency, requestClass.latencyObjective / 2);
     const Nanos usefulUntil = requestClass.lateWeight > 0
                                   ? request.deadline()
                                   : std::min(request.objectiveDeadline(), request.deadline());
     return earlyDeadline + meanLatency < usefulUntil ? earlyDeadline : request.deadline();
 }
 
+// The client's deadline counts, not the latency objective: a late response is better than none.
+Nanos RetryPolicy::deadlineBeforeRetry(const Request& request, LatencyStatistics& statistics,
+                                       Nanos now) const {
+    const Nanos half = (request.deadline() - now) / 2;
+    const Nanos meanLatency = statistics.meanLatency(now);
+    const Nanos reserved = meanLatency > 0 ? std::min(kUsualMeanLatencies * meanLatency, half) : half;
+    return request.deadline() - reserved;
+}
+
 }  // namespace poppyscale::policy
--- a/src/policy/retry_policy.hpp
+++ b/src/policy/retry_policy.hpp
@@ -42,6 +42,9 @@
     int attemptsLeft(const Request& request) const;
     // Whether the request may be sent to `server`.
     bool mayAttempt(const Request& request, const Server& server, Nanos now) const;
+    // Whether the request is safe to repeat, has had no attempt, and has the time and the number of
+    // attempts for one more after a first one.
+    bool mayBeRepeatedInTime(const Request& request, Nanos now) const;
     // Whether the client may be asked to retry.
     bool mayReject(const Request& request) const;
     // Whether `server` has the retry credit for an attempt. Draws a random number only if credit is
@@ -53,6 +56,8 @@
     // load. `totalLimiter`: the limiter over all cache servers.
     Nanos attemptDeadline(const Request& request, const Server& server, LatencyStatistics& statistics,
                           const ConcurrencyLimiter& totalLimiter, Nanos now) const;
+    // The time by which the response must have begun so that another attempt can still be answered.
+    Nanos deadlineBeforeRetry(const Request& request, LatencyStatistics& statistics, Nanos now) const;
 
   private:
     const PolicySettings& settings_;
--- a/src/policy/routing_policy.cpp
+++ b/src/policy/routing_policy.cpp
@@ -219,6 +219,8 @@
     const bool isAnswerOfWarmServer =
         isAnswer(result.outcome) && !server.isOrigin() && !slowStart_.isWarmingUp(server, now);
     if (isAnswerOfWarmServer) slowStart_.recordAnswerOfWarmServer(now);
+    if (isAnswerOfWarmServer && result.outcome == AttemptOutcome::succeeded)
+        slowStart_.recordLatencyOfWarmServer(result.duration);
     if (!isServerFailure(result, request.requestClass().latencyObjective)) return;
     const bool isEjected = outlierDetector_.recordFailure(server, now);
     if (isEjected) ranking_.invalidate();
@@ -287,7 +289,9 @@
             startAttempt(request, selection, now);
             return false;
         }
-        const Nanos responseDeadline = std::min(request.objectiveDeadline(), request.deadline());
+        const Nanos responseDeadline = request.hasFreeRetry()
+                                           ? request.deadline()
+                                           : std::min(request.objectiveDeadline(), request.deadline());
         const Nanos latestStart = responseDeadline - statistics_.meanLatency(now);
         if (mayWait(request, selection.awaitsFetch, latestStart, now)) {
             wakeupAt = std::min({wakeupAt, latestStart, now + kRecheckInterval});
@@ -309,23 +313,27 @@
 
 void RoutingPolicy::startAttempt(Request& request, const CandidateSelector::Selection& selection, Nanos now) {
     Server& server = *selection.server;
-    if (request.mayHaveExecuted(server.isOrigin())) server.retryCredit.spend();
+    if (request.needsRetryCredit(server.isOrigin())) server.retryCredit.spend();
     if (request.tenantUsage() && request.attempts().empty())
         tenantFairness_.recordForwarded(*request.tenantUsage(), now);
     if (settings_.cacheAside && request.isWrite())
         for (Server* cacheServer : registry_.cacheServers()) cacheServer->hints.remove(request.key());
-    const Nanos deadline = retryPolicy_.attemptDeadline(request, server, statistics_, totalLimiter_, now);
+    const bool allowsFreeRetry =
+        slowStart_.isWarmingUpAfterReadmission(server, now) && retryPolicy_.mayBeRepeatedInTime(request, now);
+    Nanos deadline = retryPolicy_.attemptDeadline(request, server, statistics_, totalLimiter_, now);
+    if (allowsFreeRetry)
+        deadline = std::min(deadline, retryPolicy_.deadlineBeforeRetry(request, statistics_, now));
     host_.startAttempt(request.id(), server.name(), deadline, request.latestStart());
-    request.startAttempt(server, now);
+    request.startAttempt(server, allowsFreeRetry, now);
     server.limiter.onAttemptStarted();
     if (server.isOrigin())
         originFetches_.onAttemptStarted(request);
     else
         totalLimiter_.onAttemptStarted();
     slowStart_.onAttemptStarted(server, selection.isPreferred, now);
-    if (server.awaitsFirstAttempt()) {
+    if (server.firstAttempt.isAwaited()) {
         logFirstAttempt(server, selection.isPreferred, now);
-        server.endWaitForFirstAttempt();
+        server.endWaitForFirstAttempt(now);
         ranking_.invalidate();
     }
 }
--- a/src/policy/server.cpp
+++ b/src/policy/server.cpp
@@ -15,16 +15,23 @@
 constexpr ConcurrencyLimiter::Target kCacheServerTarget{kTargetLatencyRatio};
 constexpr ConcurrencyLimiter::Target kOriginTarget{kOriginLatencyRatio, kOriginLatencyRatio};
 
+constexpr ConcurrencyLimiter::Target targetOf(bool isOrigin) {
+    return isOrigin ? kOriginTarget : kCacheServerTarget;
+}
+
 }  // namespace
 
 Server::Server(const std::string& name, bool isOrigin, double initialRetryCredit)
-    : limiter(isOrigin ? kOriginTarget : kCacheServerTarget, kInitialLimit),
+    : limiter(targetOf(isOrigin), kInitialLimit),
       retryCredit(initialRetryCredit),
       endpoint_{name, "", "", EndpointState::removed, 0, 0},
       hash_(hashText(name)),
       isOrigin_(isOrigin) {}
 
-void Server::applyListing(const Endpoint& listed, Nanos startedAt, double weight) {
+void Server::applyListing(const Endpoint& listed, Nanos startedAt, double weight, Nanos now) {
+    const bool hasBecomeReady =
+        listed.state == EndpointState::ready && endpoint_.state != EndpointState::ready;
+    if (hasBecomeReady && firstAttempt.isAwaited()) firstAttempt.start(now);
     endpoint_ = listed;
     endpoint_.startedAt = startedAt;
     endpoint_.weight = weight;
@@ -45,12 +52,17 @@
 
 void Server::readmit(Nanos now) {
     hints.clear();
-    limiter.restart(kCacheServerTarget, kRestartedLimit);  // an origin gets this target, too
+    limiter.restart(targetOf(isOrigin_), kRestartedLimit);
     outcomes.restart();
-    warmupBudget.restart(now);
+    if (isOrigin_) return;
+    firstAttempt.start(now);
     endpoint_.startedAt = now;
     readmittedAt_ = now;
-    awaitsFirstAttempt_ = true;
+}
+
+void Server::endWaitForFirstAttempt(Nanos now) {
+    firstAttempt.end();
+    warmupBudget.restart(now);
 }
 
 bool Server::endGeneration() {
--- a/src/policy/server.hpp
+++ b/src/policy/server.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "policy/concurrency_limiter.hpp"
+#include "policy/first_attempt_schedule.hpp"
 #include "policy/hint_filter.hpp"
 #include "policy/load_estimator.hpp"
 #include "policy/outlier_detector.hpp"
@@ -32,23 +33,22 @@
     // last readmission. `weight` is the full weight where weights follow load (see LoadEstimator),
     // else the last known weight. `state` is `removed` if a complete list leaves the server out.
     const Endpoint& endpoint() const { return endpoint_; }
-    // Whether an operator's ejection was lifted and no attempt has been sent to the server since.
-    bool awaitsFirstAttempt() const { return awaitsFirstAttempt_; }
     // When an operator's ejection was last lifted; before all other times if none was.
     Nanos readmittedAt() const { return readmittedAt_; }
 
-    // Applies an entry of the endpoint list.
-    void applyListing(const Endpoint& listed, Nanos startedAt, double weight);
+    // Applies an entry of the endpoint list at `now`.
+    void applyListing(const Endpoint& listed, Nanos startedAt, double weight, Nanos now);
     void raiseWeightTo(double weight);
     void markRemoved() { endpoint_.state = EndpointState::removed; }
     // The later of the listed start and the last readmission.
     Nanos startedAtOrAfterReadmission(Nanos listedStart) const;
     // The server's process has restarted and has lost its cached keys.
     void restart();
-    // An operator's ejection was lifted: the server counts as just started, with its hints, limit
-    // and outcomes reset.
+    // An operator's ejection was lifted: a cache server counts as just started, with its hints, limit
+    // and outcomes reset, and awaits its first attempt. The origin has no slow start.
     void readmit(Nanos now);
-    void endWaitForFirstAttempt() { awaitsFirstAttempt_ = false; }
+    // The first attempt after a readmission is started. The warm-up budget fills from now on.
+    void endWaitForFirstAttempt(Nanos now);
     // Ends a hint generation. Returns whether the server was removed at the end of this generation
     // and of the one before.
     bool endGeneration();
@@ -58,13 +58,13 @@
     RetryCredit retryCredit;
     OutcomeHistory outcomes;
     WarmupBudget warmupBudget;
+    FirstAttemptSchedule firstAttempt;
     LoadReport loadReport;
 
   private:
     Endpoint endpoint_;
     const std::uint64_t hash_;
     const bool isOrigin_;
-    bool awaitsFirstAttempt_ = false;
     bool wasRemoved_ = false;  // whether the server was removed at the end of the last generation
     Nanos readmittedAt_ = -kNever;
 };
--- a/src/policy/slow_start.cpp
+++ b/src/policy/slow_start.cpp
@@ -12,15 +12,18 @@
 // traffic rarely has a request for the server within one window.
 constexpr double kMaxWindowsSaved = 12;
 constexpr Nanos kRampSteps = 32;
-// The budget of a server that is warming up is this fraction of the load at which it collapses.
-constexpr double kSafetyMargin = 0.5;
+// The budgets of a server that is warming up add up to this fraction of the load at which it collapses.
+constexpr double kBudgetFraction = 0.5;
+// Where the settings name no overload window, each router may send its first attempt within this time.
+constexpr Nanos kUnlimitedWindow = 1'000 * kMillisecond;
+constexpr int kMaxLatencySamples = 32;  // weight of earlier samples in the mean latency
 
 }  // namespace
 
 void WarmupBudget::skipTo(Nanos now) { filledAt_ = std::max(filledAt_, now); }
 
 void WarmupBudget::restart(Nanos now) {
-    attempts_ = 1;
+    attempts_ = 0;
     filledAt_ = now;
 }
 
@@ -46,14 +49,19 @@
     return settings_.initialFraction + (1 - settings_.initialFraction) * progress;
 }
 
+bool SlowStart::isWarmingUpAfterReadmission(const Server& server, Nanos now) const {
+    return server.readmittedAt() >= server.endpoint().startedAt && isWarmingUp(server, now);
+}
+
 Nanos SlowStart::stepDuration() const { return std::max(settings_.rampDuration / kRampSteps, kMillisecond); }
 
 bool SlowStart::hasBudget(Server& server, Nanos now, Random& random) {
     const double fraction = warmupFraction(server, now);
     if (fraction >= 1) return true;
+    if (server.firstAttempt.isAwaited()) return isFirstAttemptDue(server, now, random);
     updateThroughput(now);
     const double rate =
-        kSafetyMargin * settings_.overloadMultiple * fraction * throughput_ * server.endpoint().weight;
+        kBudgetFraction * settings_.overloadMultiple * fraction * throughput_ * server.endpoint().weight;
     const bool isWithinBudget = server.warmupBudget.fill(rate, window_, now, random);
     if (!isWithinBudget) ++counts_.withoutBudget;
     return isWithinBudget;
@@ -68,9 +76,46 @@
         ++counts_.withinBudget;
 }
 
-void SlowStart::setWarmWeight(double weight, Nanos now) {
+// Routers that still owe the server its first attempt have no budget, and leave their part to the first
+// attempts.
+bool SlowStart::isFirstAttemptDue(Server& server, Nanos now, Random& random) {
+    const auto routerCount = static_cast<double>(std::max(settings_.routerCount, 1));
+    if (settings_.overloadWindow <= 0)
+        return server.firstAttempt.isDue({routerCount, routerCount, kUnlimitedWindow}, now, random);
+    updateThroughput(now);
+    const double collapseLoad =
+        settings_.overloadMultiple * warmupFraction(server, now) * knownCapacity(server.endpoint().weight);
+    const double ofBudgets = kBudgetFraction * (1 - server.firstAttempt.awaitedFraction());
+    return server.firstAttempt.isDue({(1 - ofBudgets) * collapseLoad, routerCount, window_}, now, random);
+}
+
+// A server bears what it answers. Where it has little to do, that is less than it could: it also
+// bears one request after another.
+double SlowStart::knownCapacity(double weight) const {
+    const double answered = throughput_ * weight * settings_.routerCount;
+    const double meanWeight = warmCount_ > 0 ? warmWeight_ / warmCount_ : weight;
+    const double latency =
+        latencySamples_ > 0 ? meanLatency_ : static_cast<double>(largestLatencyObjective());
+    const double oneByOne = static_cast<double>(window_) / std::max(latency, 1.0);
+    return std::max(answered, oneByOne * std::min(1.0, weight / meanWeight));
+}
+
+Nanos SlowStart::largestLatencyObjective() const {
+    Nanos largest = kMillisecond;
+    for (const RequestClass& requestClass : settings_.requestClasses)
+        largest = std::max(largest, requestClass.latencyObjective);
+    return largest;
+}
+
+void SlowStart::recordLatencyOfWarmServer(Nanos latency) {
+    latencySamples_ = std::min(latencySamples_ + 1, kMaxLatencySamples);
+    meanLatency_ += (static_cast<double>(latency) - meanLatency_) / latencySamples_;
+}
+
+void SlowStart::setWarmServers(double weight, int count, Nanos now) {
     updateThroughput(now);
     warmWeight_ = weight;
+    warmCount_ = count;
 }
 
 void SlowStart::updateThroughput(Nanos now) {
