Count and log late final responses and clients that leave after their deadline

Change: `RequestEndLog` counts final responses over 20 ms late, clients that leave with an open request, and those of them after its deadline (`request_ends` in the figures), and logs the late and overdue ones with attempt, phase, bytes and silence. The limit on the rate of lines is a class of its own now, shared with `AttemptEndLog`.

--- a/src/process/status_report.cpp
+++ b/src/process/status_report.cpp
@@ -158,6 +158,7 @@
                    {"list_calls", watcher ? watcher->pollCount() : 0},
                    {"guard", dispatcher.guard().json()},
                    {"attempts_ended", dispatcher.attemptEnds().json()},
+                   {"request_ends", dispatcher.requestEnds().json()},
                    {"warmup_attempts", toJson(dispatcher.warmupAttemptCounts())},
                    {"caches_ready", readyCaches},
                    {"caches_listed", listedCaches},
--- a/src/proxy/attempt_end.cpp
+++ b/src/proxy/attempt_end.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <string>
-#include <utility>
 
 #include "proxy/attempt.hpp"
 #include "proxy/upstream_server.hpp"
@@ -13,9 +12,6 @@
 namespace poppyscale::proxy {
 namespace {
 
-constexpr Nanos kLogInterval = 1'000 * kMillisecond;
-constexpr int kMaxLinesPerInterval = 10;
-
 // In the order of the enumeration; these are the keys of the JSON and appear in log lines.
 constexpr std::array<std::string_view, static_cast<std::size_t>(AttemptEndReason::count)> kReasonNames{
     "responded",          "malformed_response", "connect_failed",      "connection_lost",
@@ -30,9 +26,9 @@
 void AttemptEndLog::record(const Attempt& attempt, std::string_view outcome, Nanos now) {
     const AttemptEndReason reason = attempt.endReason();
     ++counts_[static_cast<std::size_t>(reason)];
-    if (reason == AttemptEndReason::responded || !consumeAllowance(now)) return;
-    const std::uint64_t suppressed = std::exchange(suppressedLines_, 0);
-    const std::string note = suppressed ? fmt::format(" ({} such lines were suppressed)", suppressed) : "";
+    if (reason == AttemptEndReason::responded) return;
+    const auto note = rateLimit_.admit(now);
+    if (!note) return;
     const AttemptProgress& progress = attempt.progress();
     const Nanos lastProgressAt = std::max(progress.lastProgressAt(), attempt.startedAt());
     log_(
@@ -40,20 +36,7 @@
                     "response_bytes={} silent_ms={}{}",
                     attempt.message().id, attempt.number(), attempt.server().host(), nameOf(reason), outcome,
                     (now - attempt.startedAt()) / kMillisecond, progress.responseBytes(),
-                    (now - lastProgressAt) / kMillisecond, note));
-}
-
-bool AttemptEndLog::consumeAllowance(Nanos now) {
-    if (now >= intervalStart_ + kLogInterval) {
-        intervalStart_ = now;
-        linesInInterval_ = 0;
-    }
-    const bool isAllowed = linesInInterval_ < kMaxLinesPerInterval;
-    if (isAllowed)
-        ++linesInInterval_;
-    else
-        ++suppressedLines_;
-    return isAllowed;
+                    (now - lastProgressAt) / kMillisecond, *note));
 }
 
 nlohmann::json AttemptEndLog::json() const {
--- a/src/proxy/attempt_end.hpp
+++ b/src/proxy/attempt_end.hpp
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "base/time.hpp"
+#include "proxy/log_rate_limit.hpp"
 
 namespace poppyscale::proxy {
 
@@ -46,14 +47,9 @@
     nlohmann::json json() const;
 
   private:
-    // Whether another line may be written.
-    bool consumeAllowance(Nanos now);
-
     Log log_;
+    LogRateLimit rateLimit_;
     std::array<std::uint64_t, static_cast<std::size_t>(AttemptEndReason::count)> counts_{};
-    Nanos intervalStart_ = 0;
-    int linesInInterval_ = 0;
-    std::uint64_t suppressedLines_ = 0;
 };
 
 }  // namespace poppyscale::proxy
--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -49,6 +49,18 @@
     return "unknown";
 }
 
+std::string_view textOf(FinalResponse::Kind kind) {
+    switch (kind) {
+        case FinalResponse::Kind::succeeded:
+            return "succeeded";
+        case FinalResponse::Kind::rejected:
+            return "rejected";
+        case FinalResponse::Kind::failed:
+            break;
+    }
+    return "failed";
+}
+
 ConnectionPool::Limits limitsOf(const protocol::StartupConfig& config, std::size_t maxConnections) {
     return {.maxConnections = maxConnections,
             .idleTimeout = idleTimeoutBefore(config.serverIdleTimeout),
@@ -64,6 +76,7 @@
       log_(std::move(log)),
       guard_(log_),
       attemptEnds_(log_),
+      requestEnds_(log_),
       responses_(config.memoryLimitBytes / kResponseMemoryDivisor),
       pool_(loop, buffers, *this, guard_, responses_, limitsOf(config, maxConnections)),
       maxOpenRequests_(config.maxOpenRequests),
@@ -113,6 +126,7 @@
 }
 
 void RequestDispatcher::abandon(PendingRequest& request) {
+    if (request.sink) requestEnds_.recordClientDisconnected(request, transport::EventLoop::now());
     if (metrics_ && request.sink) metrics_->recordAbandoned(request.message.requestClass);
     request.sink = nullptr;
     request.body = nullptr;
@@ -173,6 +187,7 @@
 void RequestDispatcher::complete(PendingRequest& request, FinalResponse response) {
     ResponseSink* const sink = std::exchange(request.sink, nullptr);
     if (!sink) return;
+    requestEnds_.recordFinalResponse(request, textOf(response.kind), transport::EventLoop::now());
     if (metrics_) recordFinalResponse(request, response.kind);
     sink->complete(std::move(response));
 }
@@ -374,6 +389,8 @@
     PendingRequest& request = requests_.at(attempt.requestId());
     ResponseSink* const sink = std::exchange(request.sink, nullptr);
     if (!sink) return nullptr;
+    requestEnds_.recordFinalResponse(request, textOf(FinalResponse::Kind::succeeded),
+                                     transport::EventLoop::now());
     if (metrics_)
         metrics_->recordSucceeded(request.message.requestClass, attempt.firstByteAt() - request.acceptedAt);
     return &sink->beginStream(length, source);
--- a/src/proxy/request_dispatcher.hpp
+++ b/src/proxy/request_dispatcher.hpp
@@ -24,6 +24,7 @@
 #include "proxy/invariant_guard.hpp"
 #include "proxy/pending_request.hpp"
 #include "proxy/recent_request_ids.hpp"
+#include "proxy/request_end.hpp"
 #include "proxy/request_table.hpp"
 #include "proxy/response_budget.hpp"
 #include "proxy/response_sink.hpp"
@@ -106,6 +107,7 @@
     metrics::RouterMetrics* metrics() { return metrics_.get(); }
     InvariantGuard& guard() { return guard_; }
     const AttemptEndLog& attemptEnds() const { return attemptEnds_; }
+    const RequestEndLog& requestEnds() const { return requestEnds_; }
     // Open requests keep the settings under which they were accepted.
     void applyConfig(const protocol::StartupConfig& config);
     // `memory` is the limit of the whole process, in bytes.
@@ -165,6 +167,7 @@
     Log log_;
     InvariantGuard guard_;
     AttemptEndLog attemptEnds_;
+    RequestEndLog requestEnds_;
     ResponseBudget responses_;
     ConnectionPool pool_;
     std::size_t maxOpenRequests_;
