Give up a response that is incomplete at its request's deadline, and no longer 0.3 s later

Class: a promise to the client is moved by an internal duration. Evidence: the reproduction logs `attempt ended: reason=incomplete_response after_ms=750 response_bytes=5` and `late final response: kind=rejected after_ms=751 timeout_ms=450`: the deadline plus 0.3 s in each row, whatever had arrived. Change: `AttemptProgress` ends the receiving phase at the request's deadline. With nothing to wait for after it, passing on short responses after the deadline goes, with `beginStream` of the codecs. For a collected long value the decision falls at the deadline by `ArrivalProgress`: still arriving by its bytes (then passed on), or given up, which counts as the server's failure.

--- a/src/protocol/http_response.cpp
+++ b/src/protocol/http_response.cpp
@@ -130,14 +130,6 @@
     hasHeaderValue_ = false;
 }
 
-std::optional<StreamStart> HttpResponse::beginStream() {
-    const bool hasLength =
-        parser_.content_length != kUnknownLength && (parser_.flags & F_CHUNKED) == 0 && !isComplete_;
-    if (!hasLength || streamedLength_ || body_.empty() || parser_.status_code != 200) return std::nullopt;
-    streamedLength_ = body_.size() + parser_.content_length;
-    return StreamStart{streamedLength_, std::exchange(body_, {})};
-}
-
 HttpResponse::State HttpResponse::feed(std::string_view bytes) {
     chunk_ = {};
     const std::size_t parsed = http_parser_execute(&parser_, &callbacks_, bytes.data(), bytes.size());
--- a/src/protocol/http_response.hpp
+++ b/src/protocol/http_response.hpp
@@ -5,12 +5,9 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 
-#include "protocol/stream_start.hpp"
-
 namespace poppyscale::protocol {
 
 // Parses one response at a time; `clear` makes it ready for the next one. Buffers the body, or
@@ -42,9 +39,6 @@
     // The age of an endpoint list from a distributor's header `X-List-Age-Ms`; 0 without that
     // header.
     std::int64_t listAgeMs() const { return listAgeMs_; }
-    // Streams the rest of a body although it is short, and returns what has arrived of it. None if nothing
-    // has, if there is no Content-Length, or if the status is not 200.
-    std::optional<StreamStart> beginStream();
     // The length of a streamed body; 0 for a buffered one.
     std::size_t streamedLength() const { return streamedLength_; }
     // The part of a streamed body in the last call of `feed`, which may be empty; valid until the
--- a/src/protocol/resp.cpp
+++ b/src/protocol/resp.cpp
@@ -12,7 +12,6 @@
 constexpr std::size_t kMaxLineLength = 1024;
 // The last byte of a streamed bulk string is withheld until its terminator has arrived.
 constexpr std::size_t kWithheldBytes = 1 + kBulkTerminator.size();
-constexpr std::size_t kMinStreamedLength = 2;  // one byte is withheld
 
 void appendHead(std::string& out, char type, std::size_t count) {
     out += type;
@@ -168,28 +167,6 @@
 
 RespValue RespDecoder::takeValue() { return std::move(value_); }
 
-std::optional<StreamStart> RespDecoder::beginStream() {
-    if (streamedLength_ || openArrays_.size() != 1) return std::nullopt;
-    std::vector<RespValue>& items = openArrays_[0].array.items;
-    if (items.size() > limits_.streamedItem) {
-        RespValue& item = items[limits_.streamedItem];
-        if (item.kind != RespValue::Kind::bulk || item.text.empty()) return std::nullopt;
-        const std::size_t length = item.text.size();
-        return StreamStart{length, std::exchange(item.text, {})};
-    }
-    if (items.size() < limits_.streamedItem || !bulkBytesLeft_) return std::nullopt;
-    const std::size_t arrived = bulk_.text.size();
-    const std::size_t length = arrived + *bulkBytesLeft_ - kBulkTerminator.size();
-    if (arrived == 0 || length < kMinStreamedLength) return std::nullopt;
-    StreamStart start{length, bulk_.text.substr(0, length - 1)};
-    bulk_.text.erase(0, start.bytes.size());
-    bulkBytesLeft_.reset();
-    streamedLength_ = length;
-    streamedBytesLeft_ = length + kBulkTerminator.size() - arrived;
-    bufferedBytes_ -= arrived;
-    return start;
-}
-
 void appendBulk(std::string& out, std::string_view text) {
     appendHead(out, '$', text.size());
     out += text;
--- a/src/protocol/resp.hpp
+++ b/src/protocol/resp.hpp
@@ -8,8 +8,6 @@
 #include <string_view>
 #include <vector>
 
-#include "protocol/stream_start.hpp"
-
 namespace poppyscale::protocol {
 
 // The commands that read and write a key.
@@ -53,10 +51,6 @@
     State feed(std::string_view& bytes);
     // Valid after `complete`.
     RespValue takeValue();
-    // Streams the item `streamedItem` of an incomplete array although it is short, and returns what has
-    // arrived of it, except a last byte whose terminator has not been found valid. None if nothing of it has
-    // arrived.
-    std::optional<StreamStart> beginStream();
     const std::vector<RespValue>& itemsBeforeStream() const { return openArrays_.front().array.items; }
     // The length of the bulk string that is being streamed; 0 if there is none.
     std::size_t streamedLength() const { return streamedLength_; }
--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -68,6 +68,6 @@
     startTimeout();
 }
 
-void Attempt::startTimeout() { timeout_.start(progress_.nextLimit(transport::EventLoop::now())); }
+void Attempt::startTimeout() { timeout_.start(progress_.phaseEnd()); }
 
 }  // namespace poppyscale::proxy
--- a/src/proxy/attempt_progress.cpp
+++ b/src/proxy/attempt_progress.cpp
@@ -46,11 +46,6 @@
     lastProgressAt_ = now;
 }
 
-Nanos AttemptProgress::nextLimit(Nanos now) const {
-    const bool isBeforeDeadline = phase_ == AttemptPhase::receivingResponse && now < deadlines_.request;
-    return isBeforeDeadline ? deadlines_.request : phaseEnd();
-}
-
 Nanos AttemptProgress::phaseEnd() const {
     const Nanos idleEnd = lastProgressAt_ + kTransferIdleTimeout;
     switch (phase_) {
@@ -61,7 +56,7 @@
         case AttemptPhase::awaitingResponse:
             return deadlines_.responseStart;
         case AttemptPhase::receivingResponse:
-            return deadlines_.request + kFinalResponseGrace;
+            return deadlines_.request;
         case AttemptPhase::forwardingResponse:
             return isPaused_ ? forwardingEnd_ : std::min(forwardingEnd_, idleEnd);
     }
--- a/src/proxy/attempt_progress.hpp
+++ b/src/proxy/attempt_progress.hpp
@@ -17,10 +17,6 @@
     forwardingResponse   // the rest of a value whose first bytes were passed on to the client
 };
 
-// How long after its deadline a request may still get its final response, if the rest of the response to its
-// attempt might arrive.
-constexpr Nanos kFinalResponseGrace = 300 * kMillisecond;
-
 // Tells at each time which limit holds for an attempt, so that no limit of one phase acts in the next:
 //
 // | phase              | ends the attempt                                                              |
@@ -28,14 +24,13 @@
 // | awaitingConnection | `Deadlines::connection`                                                       |
 // | sendingRequest     | `Deadlines::request`, or 5 s in which the server takes nothing                |
 // | awaitingResponse   | `Deadlines::responseStart`                                                    |
-// | receivingResponse  | `kFinalResponseGrace` after `Deadlines::request`                              |
+// | receivingResponse  | `Deadlines::request`                                                          |
 // | forwardingResponse | 5 s without a byte while the client reads; 30 s, and 1 s more for each KiB of |
 // |                    | the value                                                                     |
 //
-// From `Deadlines::request` on, a response that is being received is overdue: the next bytes of it that
-// arrive are passed on with those before them. So a server that still writes is not cut off, and a request
-// whose server has stopped in the middle of its response gets its final response. Owned by its attempt; does
-// no I/O.
+// A response that is not complete at `Deadlines::request` is given up, however much of it has arrived: its
+// client may leave at that time. Only a value whose first bytes were passed on before goes on. Owned by its
+// attempt; does no I/O.
 class AttemptProgress {
   public:
     struct Deadlines {
@@ -64,18 +59,12 @@
     std::size_t responseBytes() const { return responseBytes_; }
     // When bytes were last transferred, or reading was resumed.
     Nanos lastProgressAt() const { return lastProgressAt_; }
-    // Whether what arrives of the response has to be passed on at once.
-    bool isOverdue(Nanos now) const {
-        return phase_ == AttemptPhase::receivingResponse && now >= deadlines_.request;
-    }
-    // When the attempt becomes overdue or, if it is, ends.
-    Nanos nextLimit(Nanos now) const;
-    // Whether the limit of the present phase has passed.
+    // The limit of the present phase.
+    Nanos phaseEnd() const;
+    // Whether it has passed.
     bool isExpired(Nanos now) const { return now >= phaseEnd(); }
 
   private:
-    Nanos phaseEnd() const;
-
     Deadlines deadlines_;
     AttemptPhase phase_ = AttemptPhase::awaitingConnection;
     std::size_t responseBytes_ = 0;
--- a/src/proxy/body_stream.hpp
+++ b/src/proxy/body_stream.hpp
@@ -2,8 +2,8 @@
 // and with backpressure.
 //
 // Neither side owns the other. A side that ends the stream early notifies the other one, and is not
-// called again after that: the source calls `BodySink::onAborted`, and the sink calls
-// `BodySource::cancel` or returns `FlowControl::closed`.
+// called again after that: the source calls `BodySink::onAborted`, and the sink calls `BodySource::cancel` or
+// `BodySource::giveUp`, or returns `FlowControl::closed`.
 #pragma once
 
 #include <cstdint>
@@ -38,6 +38,8 @@
     virtual void resume() = 0;
     // The sink needs no further chunk.
     virtual void cancel() = 0;
+    // As `cancel`, because the rest of the value has not arrived in time.
+    virtual void giveUp() { cancel(); }
 };
 
 // The value of a write, which waits until an attempt streams it.
--- a/src/proxy/client_connection.hpp
+++ b/src/proxy/client_connection.hpp
@@ -208,6 +208,8 @@
         return pipeline_.size() == 1 && unparsed_.isEmpty() && !connection_.hasUnreadBytes();
     }
     void onCollectTimeout();
+    // Passes on a collected response that is still arriving at the end of its time, or else fails it.
+    void decideIncomplete(PipelinedRequest& front, Nanos now);
     void fail(PipelinedRequest& request);
     void respond(PipelinedRequest& request, std::string_view text);
     void append(PipelinedRequest& request, std::string_view text);
--- a/src/proxy/client_connection_responses.cpp
+++ b/src/proxy/client_connection_responses.cpp
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include "protocol/client_response.hpp"
-#include "proxy/attempt_progress.hpp"
 #include "proxy/client_connection.hpp"
 
 namespace poppyscale::proxy {
@@ -62,10 +61,10 @@
     // must not be cancelled, since it learns of the removal from the returned `FlowControl::closed`.
     BodySource* const source = request.takeSource();
     markActive();
-    if (pipeline_.isFront(request)) decideDelivery(request);
-    // Its server is still sending at its deadline, so that it is passed on rather than cut off.
-    const bool isOverdue = request.isCollected() && transport::EventLoop::now() >= request.deadline();
-    if (isOverdue) pipeline_.stopCollecting(request);
+    if (pipeline_.isFront(request))
+        decideDelivery(request);
+    else
+        request.noteBehindAnother();
     if (!request.isStreaming()) {
         flush();
         return FlowControl::closed;
@@ -118,8 +117,10 @@
     }
     pipeline_.collect(front);
     reportUsage();
-    // The time in which the response was not read, since it was behind another one, does not count.
-    front.setCollectEnd(std::max(front.deadline(), now) + kFinalResponseGrace);
+    // While a response is behind another one it is not read, so that it is not known whether it still
+    // arrives.
+    const Nanos earliestEnd = front.wasBehindAnother() ? now + ArrivalProgress::kMaxPause : 0;
+    front.setCollectEnd(std::max(front.deadline(), earliestEnd));
     collectTimer_.start(front.collectEnd());
 }
 
@@ -139,12 +140,24 @@
 void ClientConnection::onCollectTimeout() {
     PipelinedRequest* const front = pipeline_.streamingFront();
     if (!front || front->isDirect()) return;
+    const Nanos now = transport::EventLoop::now();
     const Nanos end = front->isUndecided() ? front->memoryWaitEnd() : front->collectEnd();
-    if (end == 0 || transport::EventLoop::now() < end) return;
-    fail(*front);
+    if (end == 0 || now < end) return;
+    if (front->isUndecided())
+        fail(*front);
+    else
+        decideIncomplete(*front, now);
     flush();
 }
 
+// The request's time is over. A value whose server still sends it must not be cut off, so its first bytes go
+// out now, although requests behind it are lost if the rest does not follow.
+void ClientConnection::decideIncomplete(PipelinedRequest& front, Nanos now) {
+    if (front.isArriving(now)) return pipeline_.stopCollecting(front);
+    front.giveUpSource();
+    fail(front);
+}
+
 void ClientConnection::fail(PipelinedRequest& request) {
     pipeline_.replace(request, protocol::failedResponse());
     reportUsage();
--- a/src/proxy/pipelined_request.cpp
+++ b/src/proxy/pipelined_request.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "protocol/resp.hpp"
+#include "transport/event_loop.hpp"
 
 namespace poppyscale::proxy {
 
@@ -63,9 +64,15 @@
 
 void PipelinedRequest::resumeSource() {
     isSourcePaused_ = false;
+    arrival_.restart(transport::EventLoop::now());
     source_->resume();
 }
 
+void PipelinedRequest::giveUpSource() {
+    BodySource* const source = takeSource();
+    if (source) source->giveUp();
+}
+
 void PipelinedRequest::cancelSource() {
     if (source_) source_->cancel();
 }
@@ -86,11 +93,15 @@
     source_ = &source;
     streamedBytesLeft_ = length;
     state_ = State::streaming;
+    arrival_.restart(transport::EventLoop::now());
     owner_.onStreamBegins(*this, length);
     return *this;
 }
 
-FlowControl PipelinedRequest::onChunk(std::string_view bytes) { return owner_.onStreamChunk(*this, bytes); }
+FlowControl PipelinedRequest::onChunk(std::string_view bytes) {
+    arrival_.onBytes(bytes.size(), transport::EventLoop::now());
+    return owner_.onStreamChunk(*this, bytes);
+}
 
 void PipelinedRequest::onAborted() {
     source_ = nullptr;
--- a/src/proxy/pipelined_request.hpp
+++ b/src/proxy/pipelined_request.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "proxy/arrival_progress.hpp"
 #include "proxy/body_stream.hpp"
 #include "proxy/pending_request.hpp"
 #include "proxy/response_sink.hpp"
@@ -58,7 +59,8 @@
     bool isCollected() const { return delivery_ == Delivery::collected; }
     // Delivers what is collected, and passes on the rest as it arrives.
     void stopCollecting();
-    // By when a collected response has to be complete or to go on arriving; 0 for other responses.
+    // When it is decided whether a collected response that is incomplete is passed on or has failed; 0 for
+    // other responses.
     Nanos collectEnd() const { return collectEnd_; }
     void setCollectEnd(Nanos end) { collectEnd_ = end; }
     // What the response takes of the memory once it is collected.
@@ -87,6 +89,13 @@
     void clearUnsent();
     // Replaces a response of which nothing is written, and cancels its source if it has one.
     void replaceResponse(std::string_view text);
+    // Ends the source of a streamed response, the rest of which has not arrived in time.
+    void giveUpSource();
+    // Whether the rest of a streamed response is still arriving.
+    bool isArriving(Nanos now) const { return arrival_.isArriving(now); }
+    // The streamed response is not read, since it is behind another one.
+    void noteBehindAnother() { wasBehindAnother_ = true; }
+    bool wasBehindAnother() const { return wasBehindAnother_; }
 
     // Counts `size` more bytes of a streamed response. Returns whether they are the last ones.
     bool countStreamed(std::size_t size);
@@ -122,6 +131,8 @@
     BodySource* source_ = nullptr;
     std::size_t streamedBytesLeft_ = 0;
     Nanos collectEnd_ = 0;
+    ArrivalProgress arrival_;
+    bool wasBehindAnother_ = false;
     std::size_t reservedBytes_ = 0;
     bool isSourcePaused_ = false;
 };
--- a/src/proxy/upstream_codec.cpp
+++ b/src/proxy/upstream_codec.cpp
@@ -40,7 +40,6 @@
     State onConnectionEnd() override { return State::malformed; }
     std::size_t streamedLength() const override { return decoder_.streamedLength(); }
     std::string_view chunk() const override { return decoder_.chunk(); }
-    std::optional<protocol::StreamStart> beginStream() override { return decoder_.beginStream(); }
     protocol::AttemptResponse takeResponse() override {
         return protocol::readCacheResponse(decoder_.takeValue());
     }
@@ -76,7 +75,6 @@
     State onConnectionEnd() override { return stateOf(response_.end()); }
     std::size_t streamedLength() const override { return response_.streamedLength(); }
     std::string_view chunk() const override { return response_.chunk(); }
-    std::optional<protocol::StreamStart> beginStream() override { return response_.beginStream(); }
     protocol::AttemptResponse takeResponse() override {
         const int status = response_.status();
         if (status == 200) return {AttemptOutcome::succeeded, std::move(response_.body()), true};
--- a/src/proxy/upstream_codec.hpp
+++ b/src/proxy/upstream_codec.hpp
@@ -4,14 +4,12 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 
 #include "base/time.hpp"
 #include "protocol/attempt_message.hpp"
 #include "protocol/request.hpp"
-#include "protocol/stream_start.hpp"
 
 namespace poppyscale::proxy {
 
@@ -37,9 +35,6 @@
     // After `chunk`: the length of the whole value, and a part of it that is valid until the next `feed`.
     virtual std::size_t streamedLength() const = 0;
     virtual std::string_view chunk() const = 0;
-    // Streams the rest of a value of which some bytes have been buffered, and returns these, as a first
-    // chunk. None if no byte of it has arrived or its length is not known.
-    virtual std::optional<protocol::StreamStart> beginStream() = 0;
     // After `complete`.
     virtual protocol::AttemptResponse takeResponse() = 0;
     // After `complete`: whether another request may be sent on the connection.
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -40,7 +40,6 @@
     timer_.stop();
     state_ = State::busy;
     wasReadDelayed_ = false;
-    unreadWhenOverdue_ = 0;
     attempt_ = &attempt;
     attempt.attach(*this);
     const protocol::Request& message = attempt.message();
@@ -99,9 +98,6 @@
     // No request is in flight, so the bytes are no response.
     if (!attempt_) return owner_.remove(*this);
     attempt_->onResponseBytes(bytes.size());
-    // Bytes that were already there at the deadline don't show that the server still sends.
-    const bool isSending = unreadWhenOverdue_ == 0;
-    unreadWhenOverdue_ -= std::min(unreadWhenOverdue_, bytes.size());
     using CodecState = UpstreamCodec::State;
     CodecState state = codec_->feed(bytes);
     while (state == CodecState::chunk) {
@@ -113,33 +109,14 @@
         return endAttempt(std::move(response), codec_->isReusable(), AttemptEndReason::responded);
     }
     if (state == CodecState::malformed) return endAttempt({}, false, AttemptEndReason::malformedResponse);
-    if (isSending && !forwardOverdue()) return;
     reserveResponse();
 }
 
-bool UpstreamConnection::forwardOverdue() {
-    if (!attempt_->progress().isOverdue(transport::EventLoop::now())) return true;
-    const auto begun = codec_->beginStream();
-    if (!begun) return true;
-    setReservedBytes(codec_->expectedBytes());
-    return forwardChunk(begun->length, begun->bytes);
-}
-
-void UpstreamConnection::onOverdue() {
-    if (!isAwaitingRead_) return;
-    unreadWhenOverdue_ = connection_.unreadBytes();
-    pool_.cancelRead(*this);
-    isAwaitingRead_ = false;
-    connection_.setReading(true);
-}
-
 // Each response has its own size limit, but many incomplete responses together could exhaust the memory of a
 // small machine. A response that has its reservation can be read to its end, so that no two wait for each
 // other's memory. What has been read without one is counted all the same.
 void UpstreamConnection::reserveResponse() {
-    const std::size_t expected = codec_->expectedBytes();
-    const bool isOverdue = attempt_->progress().isOverdue(transport::EventLoop::now());
-    if (isOverdue || expected <= reservedBytes_ || tryRead()) return;
+    if (codec_->expectedBytes() <= reservedBytes_ || tryRead()) return;
     isAwaitingRead_ = true;
     wasReadDelayed_ = true;
     connection_.setReading(false);
@@ -210,6 +187,11 @@
     breakOff(AttemptOutcome::succeeded, AttemptEndReason::cancelled);
 }
 
+void UpstreamConnection::giveUp() {
+    responseSink_ = nullptr;
+    breakOff(AttemptOutcome::failed, AttemptEndReason::stalledResponse);
+}
+
 FlowControl UpstreamConnection::onChunk(std::string_view bytes) {
     requestBodyLeft_ -= bytes.size();
     const bool isLast = requestBodyLeft_ == 0;
--- a/src/proxy/upstream_connection.hpp
+++ b/src/proxy/upstream_connection.hpp
@@ -74,13 +74,8 @@
     // or the server is not usable.
     bool isStale() const;
     Nanos idleSince() const { return idleSince_; }
-    // Whether the rest of the response is not read for want of memory.
-    bool isAwaitingRead() const { return isAwaitingRead_; }
     // Whether reading of the response has stopped at some time for want of memory.
     bool wasReadDelayed() const { return wasReadDelayed_; }
-    // The request's deadline has passed with an incomplete response: reads on, whether or not there is
-    // memory, since the next bytes are passed on.
-    void onOverdue();
     // Reads on if there is memory for the rest of the response; else returns false.
     bool tryRead();
 
@@ -102,6 +97,7 @@
     // BodySource of a streamed response.
     void resume() override;
     void cancel() override;
+    void giveUp() override;
     // BodySink of a streamed request body.
     FlowControl onChunk(std::string_view bytes) override;
     void onAborted() override;
@@ -112,9 +108,6 @@
     void reserveResponse();
     void setReservedBytes(std::size_t bytes);
     void releaseResponse();
-    // Passes on what has arrived of an overdue response, if the rest of it can follow. False when the
-    // connection was removed.
-    bool forwardOverdue();
     // By when the client has to get the response to a write whose value is being sent.
     Nanos requestDeadline() const;
 
@@ -146,9 +139,6 @@
     std::size_t reservedBytes_ = 0;  // of an incomplete response
     bool isAwaitingRead_ = false;
     bool wasReadDelayed_ = false;
-    // Bytes that had arrived, unread for want of memory, when the response became overdue, and still are
-    // unread.
-    std::size_t unreadWhenOverdue_ = 0;
 };
 
 }  // namespace poppyscale::proxy
--- a/src/proxy/upstream_server.cpp
+++ b/src/proxy/upstream_server.cpp
@@ -194,7 +194,6 @@
                           AttemptEndReason::connectionTimeout);
     }
     if (attempt.progress().isExpired(transport::EventLoop::now())) return endTimedOut(attempt);
-    connection->onOverdue();
     attempt.startTimeout();
 }
 
--- a/src/proxy/upstream_server.hpp
+++ b/src/proxy/upstream_server.hpp
@@ -48,7 +48,7 @@
 
     // Writes the attempt's request on a reusable connection, or queues the attempt until there is one.
     void send(Attempt& attempt);
-    // A time limit of the attempt has passed: ends it, unless the rest of its response may still arrive.
+    // A time limit of the attempt has passed: ends it, unless another limit has replaced that one.
     void onTimeLimit(Attempt& attempt);
     // Ends an attempt that is in flight, as if its time limit had passed.
     void endTimedOut(Attempt& attempt);
