Soak: servers that stop in the middle of a reply, clients that leave at their time, signals in series

Change: fault `stopped_replies` (a share of the values of caches and origin stops in the head, after it, in the value or two bytes before the end; 0.1 to 150 kB), drawn by the soak. `[load] patience_ms`: clients without a response leave 50 to 300 ms after their deadline in the soak; while event loops are held up, later by that time. The 0.5 s are gone, so the audit is stricter. Routers that are terminated get SIGHUP once to three times, before and after SIGTERM. Variant `late` gives up incomplete responses SIZE ms after the deadline; `RequestDispatcher::responseDeadline` is its hook. Replies are written by `ReplyWriter`, which was part of live_run.cpp. A short slow reply that its router gives up at the deadline is no `cut`: the operators' term allows it ("nor is a shorter one before its request's time"); its length is in the log for that.

--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -350,7 +350,7 @@
                                          .number = number,
                                          .startedAt = now,
                                          .deadline = deadline,
-                                         .requestDeadline = request.deadline,
+                                         .requestDeadline = responseDeadline(request),
                                          .latestStart = action.latestStart,
                                          .body = std::exchange(request.body, nullptr)};
     request.attempt = std::make_unique<Attempt>(loop_, request.message, *action.server, parameters);
--- a/src/proxy/request_dispatcher.hpp
+++ b/src/proxy/request_dispatcher.hpp
@@ -117,6 +117,8 @@
 
   protected:
     void onAttemptEnded(Attempt& attempt, protocol::AttemptResponse response) override;
+    // By when the response to an attempt must be complete, unless it is passed on as it arrives.
+    virtual Nanos responseDeadline(const PendingRequest& request) const { return request.deadline; }
     bool isAwaited(Attempt& attempt) override { return isAwaited(requests_.at(attempt.requestId())); }
     void setIdleTimeout(Nanos timeout) { pool_.setIdleTimeout(timeout); }
 
--- a/src/testbed/audit/audit.cpp
+++ b/src/testbed/audit/audit.cpp
@@ -15,8 +15,12 @@
 constexpr Nanos kForwardedTimeoutSlack = 150 * kMillisecond;
 constexpr std::int64_t kMaxJudgedTimeoutMs = 1'000'000'000;  // above any deadline, and can't overflow in ns
 constexpr std::size_t kMaxViolations = 1000;
-// How long after its deadline a request may get its final response if its server has begun to reply.
-constexpr Nanos kSlowReplySlack = 500 * kMillisecond;
+// A longer value is passed on from its first byte on; a shorter one earns nothing once its deadline has
+// passed.
+constexpr std::int64_t kMaxCollectedValue = 64 * 1024;
+// Clients tell their timeout in whole milliseconds, so that a deadline may be that much earlier at the
+// router.
+constexpr Nanos kTimeoutUnit = kMillisecond;
 // A request on an open connection that is older has been read by its router.
 constexpr Nanos kMaxReadDelay = 150 * kMillisecond;
 // How long, beyond the longest timeout, a router that is asked to stop passes on responses.
@@ -118,7 +122,7 @@
             onUnsent(entry);
             break;
         case EventKind::slowReplyBegun:
-            if (Request* const request = requestOf(entry)) request->hasSlowReply = true;
+            onSlowReplyBegun(entry);
             break;
         case EventKind::slowReplyCut:
             onSlowReplyCut(entry);
@@ -287,7 +291,17 @@
     request->hasClientLeft = true;
 }
 
-// After the deadline, a router may give up a reply of which it has no byte of the value.
+// A server that stops in the middle of its reply breaks it.
+void Audit::onSlowReplyBegun(const LogEvent& entry) {
+    Request* const request = requestOf(entry);
+    if (!request) return;
+    request->slowReplyLength = fieldValue(entry.text, "length").value_or(0);
+    const bool isStopped = fieldValue(entry.text, "stop").value_or(0) != 0;
+    if (isStopped) request->isSlowReplyBroken = true;
+}
+
+// After the deadline, a router may give up a short reply, and a long one of which it has no byte of the
+// value.
 void Audit::onSlowReplyCut(const LogEvent& entry) {
     Request* const request = requestOf(entry);
     if (!request) return;
@@ -295,7 +309,8 @@
         request->isSlowReplyBroken = true;
         return;
     }
-    const bool mayGiveUp = entry.at >= request->deadline && entry.number == 0;
+    const bool canBePassedOn = request->slowReplyLength > kMaxCollectedValue && entry.number > 0;
+    const bool mayGiveUp = entry.at + kTimeoutUnit >= request->deadline && !canBePassedOn;
     if (entry.text == "closed" && !mayGiveUp) request->isSlowReplyClosed = true;
 }
 
@@ -304,8 +319,7 @@
     if (request.hasClientLeft || request.isUnanswered) return;
     if (request.finalResponses > 1) addViolation("lost", entry, "a second final response");
     const Nanos at = request.responseBegunAt >= 0 ? request.responseBegunAt : entry.at;
-    const Nanos slack = request.hasSlowReply ? std::max(deadlineSlack_, kSlowReplySlack) : deadlineSlack_;
-    if (at > request.deadline + slack)
+    if (at > request.deadline + deadlineSlack_)
         addViolation("lost", entry, "its final response came after its deadline");
     const bool isRefused = entry.kind == EventKind::rejected || entry.kind == EventKind::failed;
     if (isRefused && request.isSlowReplyClosed && !downSince_.contains(request.router))
--- a/src/testbed/audit/audit.hpp
+++ b/src/testbed/audit/audit.hpp
@@ -54,8 +54,9 @@
         int finalResponses = 0;
         bool hasClientLeft = false;
         bool isUnanswered = false;
-        Nanos responseBegunAt = -1;      // when the client got the first byte of a response; -1: not yet
-        bool hasSlowReply = false;       // a server has begun a reply that it sends late or slowly
+        Nanos responseBegunAt = -1;  // when the client got the first byte of a response; -1: not yet
+        std::int64_t slowReplyLength =
+            0;                           // bytes of the value of the last reply that was sent late or slowly
         bool isSlowReplyBroken = false;  // by the server or the network
         bool isSlowReplyClosed = false;  // by the router, before the deadline or with a part of the value
         bool missedAtColdCache = false;
@@ -94,6 +95,7 @@
     void onServerOverloaded(const LogEvent& entry);
     Attempt* attemptOf(const LogEvent& entry);
     Request* requestOf(const LogEvent& entry);
+    void onSlowReplyBegun(const LogEvent& entry);
     void onSlowReplyCut(const LogEvent& entry);
     void onUnsent(const LogEvent& entry);
     void onFinalResponse(const LogEvent& entry, Request& request);
--- a/src/testbed/defective_variants/defect.cpp
+++ b/src/testbed/defective_variants/defect.cpp
@@ -78,6 +78,10 @@
     }
 
   private:
+    Nanos responseDeadline(const PendingRequest& request) const override {
+        const auto grace = static_cast<Nanos>(variant_.size * kMillisecond);
+        return request.deadline + (variant_.kind == Kind::givesUpLate ? grace : 0);
+    }
     bool isAwaited(proxy::Attempt& attempt) override {
         if (variant_.kind == Kind::cutsResponses) {
             written_.insert(&attempt);
@@ -146,7 +150,8 @@
                                                                {"leaks", Kind::leaksMemory},
                                                                {"connections", Kind::connectionPerAttempt},
                                                                {"drains", Kind::ignoresDraining},
-                                                               {"cuts", Kind::cutsResponses}};
+                                                               {"cuts", Kind::cutsResponses},
+                                                               {"late", Kind::givesUpLate}};
     std::string known;
     for (const auto& [n, kind] : all) {
         if (n == name) return kind;
--- a/src/testbed/defective_variants/defect.hpp
+++ b/src/testbed/defective_variants/defect.hpp
@@ -19,7 +19,8 @@
         leaksMemory,           // leaks `size` KiB per request
         connectionPerAttempt,  // opens a connection for each attempt
         ignoresDraining,       // keeps sending to servers that are draining
-        cutsResponses          // ends attempts whose response is incomplete `size` ms after their start
+        cutsResponses,         // ends attempts whose response is incomplete `size` ms after their start
+        givesUpLate            // gives up incomplete responses `size` ms after their request's deadline
     };
     Kind kind = Kind::none;
     double size = 0;
--- a/src/testbed/drivers/live/live_run.cpp
+++ b/src/testbed/drivers/live/live_run.cpp
@@ -28,6 +28,7 @@
 #include "testbed/drivers/live/http_request.hpp"
 #include "testbed/drivers/live/machines.hpp"
 #include "testbed/drivers/live/process_faults.hpp"
+#include "testbed/drivers/live/reply_writer.hpp"
 #include "testbed/emulator/emulated_deployment.hpp"
 #include "transport/connection.hpp"
 #include "transport/event_loop.hpp"
@@ -43,7 +44,6 @@
 constexpr Nanos kReadinessTimeout = 15 * kSecond;
 // A router reads a request on an open connection within this time.
 constexpr Nanos kMaxReadDelay = 150 * kMillisecond;
-constexpr Nanos kPartInterval = 20 * kMillisecond;  // between the parts of a slow reply
 constexpr Nanos kReadinessProbeInterval = 20 * kMillisecond;
 // A window counts as late if the testbed was later than the threshold at any time in it.
 constexpr Nanos kLateThreshold = 20 * kMillisecond;
@@ -141,7 +141,7 @@
   public:
     ServerConnectionHandler(LiveRun& live, int router, int addressIndex);
     bool start(const std::function<bool(Connection&)>& finish);
-    void reply(const Reply& reply);
+    void reply(const Reply& reply) { replies_.write(reply); }
     ConnectionId id() const { return id_; }
     // Reports a slow reply that is being sent as cut off.
     void reportCut(bool byRouter);
@@ -152,8 +152,6 @@
     // The longest time that the data may have waited before it was read.
     Nanos maxArrivalDelay() const;
     void readAttempt(const protocol::RespValue& value);
-    void replySlowly(const Reply& reply);
-    void sendPart();
 
     LiveRun& live_;
     int router_, addressIndex_;
@@ -161,10 +159,7 @@
     Connection connection_;
     protocol::RespDecoder decoder_{{80 * 1024, 16, 2, 160 * 1024, false}};
     HttpRequestParser http_;
-    Reply slowReply_;
-    std::string slowBytes_;  // of the slow reply after its head; empty without one
-    std::size_t slowBytesSent_ = 0;
-    transport::Timer partTimer_;
+    ReplyWriter replies_;
 };
 
 // The server's side of a router's connection to discovery.
@@ -385,7 +380,7 @@
       router_(router),
       addressIndex_(addressIndex),
       connection_(live.loop, live.pool, *this),
-      partTimer_(live.loop, [this] { sendPart(); }) {}
+      replies_(live.loop, connection_, addressIndex == 0) {}
 
 bool ServerConnectionHandler::start(const std::function<bool(Connection&)>& finish) {
     if (!finish(connection_)) return false;
@@ -443,56 +438,9 @@
     return transport::EventLoop::now() - live_.loop.earliestArrival();
 }
 
-void ServerConnectionHandler::reply(const Reply& reply) {
-    using K = Reply::Kind;
-    if (reply.slow.bytesPerSecond > 0) return replySlowly(reply);
-    std::string text;
-    if (addressIndex_ == 0) {
-        if (reply.kind == K::value) text = httpResponse(200, "", reply.token);
-        if (reply.kind == K::error || reply.kind == K::miss) text = httpResponse(500, "", "");
-        if (reply.kind == K::busy) text = httpResponse(503, "X-Rejected: 1\r\n", "");
-        if (reply.kind == K::malformed) text = "HTTQ/9.9 ???\r\n\r\n";
-    } else {
-        if (reply.kind == K::value)
-            text = "*3\r\n" + protocol::bulk(reply.token) + protocol::bulk("hit") + "$-1\r\n";
-        if (reply.kind == K::miss) text = "*3\r\n$-1\r\n" + protocol::bulk("miss") + "$-1\r\n";
-        if (reply.kind == K::error) text = "-ERR failed\r\n";
-        if (reply.kind == K::busy) text = "-BUSY\r\n";
-        if (reply.kind == K::malformed) text = "$x9\r\n\x01\x02*\r\n";
-    }
-    connection_.write(text);
-}
-
-void ServerConnectionHandler::replySlowly(const Reply& reply) {
-    std::string value = reply.token;
-    value.resize(std::max(value.size(), reply.slow.length), kFiller);
-    slowReply_ = reply;
-    slowBytesSent_ = 0;
-    if (addressIndex_ == 0) {
-        connection_.write(fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", value.size()));
-        slowBytes_ = value;
-    } else {
-        connection_.write("*3\r\n" + protocol::bulkHead(value.size()));
-        slowBytes_ = value + "\r\n" + protocol::bulk("hit") + "$-1\r\n";
-    }
-    partTimer_.start(transport::EventLoop::now() + reply.slow.pause);
-}
-
-void ServerConnectionHandler::sendPart() {
-    const auto part = static_cast<std::size_t>(static_cast<Nanos>(slowReply_.slow.bytesPerSecond) *
-                                               kPartInterval / kSecond);
-    const std::string_view bytes = std::string_view(slowBytes_).substr(slowBytesSent_, part);
-    slowBytesSent_ += bytes.size();
-    connection_.write(bytes);
-    if (slowBytesSent_ < slowBytes_.size())
-        partTimer_.start(transport::EventLoop::now() + kPartInterval);
-    else
-        slowBytes_.clear();
-}
-
 void ServerConnectionHandler::reportCut(bool byRouter) {
-    if (slowBytes_.empty()) return;
-    live_.deployment.onSlowReplyCut(live_.now(), router_, slowReply_, slowBytesSent_, byRouter);
+    const Reply* const cut = replies_.replyInProgress();
+    if (cut) live_.deployment.onSlowReplyCut(live_.now(), router_, *cut, replies_.sentBytes(), byRouter);
 }
 
 void ServerConnectionHandler::onClosed() {
--- a/src/testbed/emulator/emulated_deployment.cpp
+++ b/src/testbed/emulator/emulated_deployment.cpp
@@ -21,8 +21,11 @@
 constexpr Nanos kTerminationDetectionDelay = 300 * kMillisecond;
 // The earliest SIGKILL after SIGTERM, beyond the longest timeout of the deployment.
 constexpr Nanos kEarliestKill = 700 * kMillisecond;
-// How long after its deadline a request whose server has begun a slow reply may get its final response.
-constexpr Nanos kSlowReplySlack = 500 * kMillisecond;
+// SIGHUPs that a router gets beside SIGTERM, and the time over which they are spread.
+constexpr int kMaxReloads = 3;
+constexpr int kReloadSpreadMs = 400;
+// How long after the end of a fault that holds up event loops its effects may last.
+constexpr Nanos kHoldUpEffect = 500 * kMillisecond;
 // How long after its deadline the rest of a response may arrive that the client has begun to receive.
 constexpr Nanos kMaxTransferOvertime = 12'000 * kMillisecond;
 
@@ -57,7 +60,7 @@
     double slowdown = 1;
     double errorShare = 0;  // share of requests that fail at once because of a fault
     double resetShare = 0;
-    double slowReplyShare = 0;
+    double slowReplyShare = 0, stoppedReplyShare = 0;
     Nanos readDelay = 0;
     int openConnections = 0;
     std::uint64_t incarnation = 0;  // events that were scheduled for an earlier process are ignored
@@ -298,7 +301,8 @@
         missedAt_.erase(rememberedRequests_.front());
         rememberedRequests_.pop_front();
     }
-    events_.schedule(request.deadline + scenario_.slack, [this, id](Nanos t) { expireRequest(t, id); });
+    request.patience = drawPatience();
+    events_.schedule(request.deadline + request.patience, [this, id](Nanos t) { expireRequest(t, id); });
     const ClientRequest& openRequest = openRequests_[id] = std::move(request);
     transport_.sendRequest(openRequest);
 }
@@ -306,8 +310,7 @@
 void EmulatedDeployment::expireRequest(Nanos now, RequestId id) {
     const auto it = openRequests_.find(id);
     if (it == openRequests_.end()) return;
-    Nanos end = it->second.deadline + scenario_.slack;
-    if (slowlyAnswered_.contains(id)) end = it->second.deadline + std::max(scenario_.slack, kSlowReplySlack);
+    Nanos end = it->second.deadline + it->second.patience + allowedHoldUp(now);
     if (begunResponses_.contains(id)) end = it->second.deadline + kMaxTransferOvertime;
     if (now < end) return events_.schedule(end, [this, id](Nanos t) { expireRequest(t, id); });
     const int router = it->second.router;
@@ -316,6 +319,20 @@
     transport_.disconnectClient(router, id);
 }
 
+// Without a patience in the scenario, clients stay until their answer does not count any more.
+Nanos EmulatedDeployment::drawPatience() {
+    const LoadPlan& load = scenario_.load;
+    if (load.minPatience <= 0) return scenario_.slack;
+    const auto range = static_cast<double>(std::max<Nanos>(load.maxPatience - load.minPatience, 0));
+    return load.minPatience + static_cast<Nanos>(range * arrivalRandom_.fraction());
+}
+
+// A client can't tell a router that is late from one whose process is held up by a fault.
+Nanos EmulatedDeployment::allowedHoldUp(Nanos now) const {
+    if (activeFaults_.loopDelay > 0) return activeFaults_.loopDelay;
+    return now < loopDelayEndedAt_ + kHoldUpEffect ? lastLoopDelay_ : 0;
+}
+
 void EmulatedDeployment::onResponseBegun(Nanos now, RequestId id) {
     const auto it = openRequests_.find(id);
     if (it == openRequests_.end() || !begunResponses_.insert(id).second) return;
@@ -341,7 +358,6 @@
     }
     const ClientRequest request = std::move(it->second);
     openRequests_.erase(it);
-    slowlyAnswered_.erase(id);
     begunResponses_.erase(id);
     switch (outcome) {
         case ClientOutcome::answered:
@@ -596,8 +612,10 @@
     if (serviceRandom_.chance(activeFaults_.malformedShare)) reply = {Reply::Kind::malformed, {}};
     reply.requestId = attempt.received.requestId;
     reply.server = server;
-    const bool isSlow = serverState.slowReplyShare > 0 && faultRandom_.chance(serverState.slowReplyShare);
-    if (isSlow && reply.kind == Reply::Kind::value) reply.slow = drawSlowDelivery();
+    const bool isSlow = faultRandom_.chance(serverState.slowReplyShare);
+    if (isSlow && reply.kind == Reply::Kind::value) reply.delivery = drawSlowDelivery(faultRandom_);
+    const bool isStopped = faultRandom_.chance(serverState.stoppedReplyShare);
+    if (isStopped && reply.kind == Reply::Kind::value) reply.delivery = drawStoppedDelivery(faultRandom_);
     queueReply(now, attemptId, std::move(reply));
     startJobs(now, server);
 }
@@ -629,30 +647,14 @@
             drawNetworkDelay(servers_[toIndex(conn.server)].zone, routers_[toIndex(conn.router)].zone);
         events_.schedule(now + networkDelay, [this, id, reply](Nanos t) {
             if (!connections_.contains(id)) return;
-            if (reply.slow.bytesPerSecond > 0) {
-                if (openRequests_.contains(reply.requestId)) slowlyAnswered_.insert(reply.requestId);
+            if (reply.delivery.isSlow() || reply.delivery.isStopped())
                 log(t, EventKind::slowReplyBegun, reply.requestId, -1, reply.server, 0, 0,
-                    fmt::format("pause={} length={} rate={}", reply.slow.pause / kMillisecond,
-                                reply.slow.length, reply.slow.bytesPerSecond));
-            }
+                    describe(reply.delivery));
             transport_.sendReply(id, reply);
         });
     }
 }
 
-// Values that are passed on at once and in parts, short and long, with a pause before the first byte and
-// without; some take longer than the client waits.
-SlowDelivery EmulatedDeployment::drawSlowDelivery() {
-    constexpr std::size_t kLengths[]{100, 20'000, 60'000, 150'000};
-    constexpr std::size_t kRates[]{20'000, 40'000, 100'000, 400'000};
-    SlowDelivery slow;
-    const bool isLate = faultRandom_.chance(0.5);
-    if (isLate) slow.pause = faultRandom_.integerBelow(1'200) * kMillisecond;
-    slow.length = kLengths[faultRandom_.integerBelow(static_cast<int>(std::size(kLengths)))];
-    slow.bytesPerSecond = kRates[faultRandom_.integerBelow(static_cast<int>(std::size(kRates)))];
-    return slow;
-}
-
 void EmulatedDeployment::breakConnection(Nanos now, ConnectionId id) {
     const auto it = connections_.find(id);
     if (it == connections_.end()) return;
@@ -964,7 +966,7 @@
         RouterState& state = routers_[toIndex(router)];
         state.isEnding = true;
         log(now, EventKind::stopping, 0, router, -1, 0, 0);
-        transport_.reloadRouter(router);
+        reloadRepeatedly(now, router);
         transport_.terminateRouter(router);
         const auto isSameProcess = [&state, incarnation = state.incarnation] {
             return state.incarnation == incarnation;
@@ -979,6 +981,18 @@
     }
 }
 
+void EmulatedDeployment::reloadRepeatedly(Nanos now, int router) {
+    transport_.reloadRouter(router);
+    const int more = faultRandom_.integerBelow(kMaxReloads);
+    for (int i = 0; i < more; ++i) {
+        const Nanos after = faultRandom_.integerBelow(kReloadSpreadMs) * kMillisecond;
+        const std::uint64_t incarnation = routers_[toIndex(router)].incarnation;
+        events_.schedule(now + after, [this, router, incarnation](Nanos) {
+            if (routers_[toIndex(router)].incarnation == incarnation) transport_.reloadRouter(router);
+        });
+    }
+}
+
 void EmulatedDeployment::scheduleFaults(const FaultPlan& fault) {
     for (int i = 0; i < fault.repetitions; ++i) {
         FaultPlan repetition = fault;
@@ -1103,6 +1117,12 @@
             affected.push_back(0);
             serverStates_[0]->slowReplyShare = fault.magnitude;
             break;
+        case K::stoppedReplies:
+            forDrawnCaches(
+                [&](int, ServerState& serverState) { serverState.stoppedReplyShare = fault.magnitude; });
+            affected.push_back(0);
+            serverStates_[0]->stoppedReplyShare = fault.magnitude;
+            break;
         case K::routerTerminate:
             terminateRouters(now, fault.count);
             break;
@@ -1188,8 +1208,11 @@
             wallClockOffset_ = static_cast<Nanos>(fault.magnitude * kMillisecond);
             transport_.injectProcessFault(fault, true);
             break;
-        case K::callsFail:
         case K::eventLoopDelay:
+            activeFaults_.loopDelay = static_cast<Nanos>(fault.magnitude * kMillisecond);
+            transport_.injectProcessFault(fault, true);
+            break;
+        case K::callsFail:
             transport_.injectProcessFault(fault, true);
             break;
         default: {  // faults of machines
@@ -1207,6 +1230,11 @@
 void EmulatedDeployment::clearFault(Nanos now, const FaultPlan& fault, const std::vector<int>& affected) {
     log(now, EventKind::fault, 0, -1, -1, 0, 0, "ends " + describe(fault));
     if (fault.kind == FaultKind::wallClockOffset) wallClockOffset_ = 0;
+    if (fault.kind == FaultKind::eventLoopDelay) {
+        lastLoopDelay_ = activeFaults_.loopDelay;
+        loopDelayEndedAt_ = now;
+        activeFaults_.loopDelay = 0;
+    }
     if (fault.kind >= FaultKind::callsFail && fault.kind <= FaultKind::eventLoopDelay)
         return transport_.injectProcessFault(fault, false);
     if (fault.kind >= FaultKind::machineKill)
@@ -1228,7 +1256,8 @@
                 break;
             default:
                 serverState.slowdown = 1;
-                serverState.errorShare = serverState.resetShare = serverState.slowReplyShare = 0;
+                serverState.errorShare = serverState.resetShare = 0;
+                serverState.slowReplyShare = serverState.stoppedReplyShare = 0;
                 serverState.refusesConnects = serverState.dropsConnects = serverState.dropsReplies = false;
                 serverState.readDelay = 0;
         }
--- a/src/testbed/emulator/emulated_deployment.hpp
+++ b/src/testbed/emulator/emulated_deployment.hpp
@@ -16,6 +16,7 @@
 #include "testbed/emulator/event_log.hpp"
 #include "testbed/emulator/event_queue.hpp"
 #include "testbed/emulator/random.hpp"
+#include "testbed/emulator/reply_delivery.hpp"
 #include "testbed/emulator/scenario.hpp"
 #include "testbed/emulator/server_model.hpp"
 
@@ -32,6 +33,7 @@
     std::string key;
     std::string idempotencyKey;  // the same for all tries; empty for classes without idempotency keys
     Nanos deadline = 0;
+    Nanos patience = 0;  // how long after the deadline the client leaves
     RequestId firstTryId = 0;
     int tryNumber = 1;
     Nanos dueAt = 0;
@@ -51,12 +53,6 @@
     Nanos maxReadDelay = 0;  // longest time that the attempt may have waited before it was read
 };
 
-// How a server sends a value late or slowly, after the head of its reply.
-struct SlowDelivery {
-    Nanos pause = 0;                 // between the head and the value
-    std::size_t length = 0;          // the value is filled up to this length, in bytes
-    std::size_t bytesPerSecond = 0;  // 0: the reply is sent at once
-};
 // Fills up a value after its token.
 constexpr char kFiller = '~';
 
@@ -64,7 +60,7 @@
     enum class Kind : std::uint8_t { value, miss, error, busy, malformed };
     Kind kind = Kind::error;
     std::string token;
-    SlowDelivery slow = {};
+    ReplyDelivery delivery = {};
     RequestId requestId = 0;
     int server = 0;
 };
@@ -240,6 +236,7 @@
         double refusedPollShare = 0;  // polls answered 503
         Nanos pollDelay = 0;          // added to discovery's answers, less up to a quarter at random
         std::string cutZone;
+        Nanos loopDelay = 0;  // longest delay of an iteration of the routers' event loops
     };
 
     // Clients
@@ -247,10 +244,14 @@
     void abandonRequest(Nanos now, RequestId id);
     double rateAt(Nanos now);
     void sendRequest(Nanos now, ClientRequest request);
-    // Ends the request unless its response may still arrive.
+    // The client leaves, unless it has received a part of its response.
     void expireRequest(Nanos now, RequestId id);
+    Nanos drawPatience();
+    // By how much the routers' processes may be held up now.
+    Nanos allowedHoldUp(Nanos now) const;
     void terminateRouters(Nanos now, int count);
-    SlowDelivery drawSlowDelivery();
+    // Sends a router SIGHUP several times, before and after its SIGTERM.
+    void reloadRepeatedly(Nanos now, int router);
     std::string drawKey(Nanos now);
     int pickRouter();
     void retryLater(Nanos now, const ClientRequest& last, Nanos after);
@@ -309,7 +310,6 @@
     std::unordered_map<ConnectionId, ServerConnection> connections_;
     std::unordered_map<std::uint64_t, AttemptInFlight> attempts_;
     std::unordered_map<RequestId, ClientRequest> openRequests_;
-    std::unordered_set<RequestId> slowlyAnswered_;  // open requests to which a slow reply was begun
     std::unordered_set<RequestId> begunResponses_;  // open requests whose client has a part of the response
     // The cache servers that missed for a request; they are filled when the origin answers it.
     std::unordered_map<RequestId, std::vector<int>> missedAt_;
@@ -324,6 +324,7 @@
     Nanos wallClockOffset_ = 0;  // offset of the wall clock that all machines share
     std::map<PollId, PendingPoll> pendingPolls_;
     ActiveFaults activeFaults_;
+    Nanos lastLoopDelay_ = 0, loopDelayEndedAt_ = 0;  // of the last fault that has ended
     std::uint64_t lastAttemptId_ = 0, lastConnectionId_ = 0, lastPollId_ = 0, lastScanKey_ = 0;
     int lastReplacement_ = 0, discoveryAddress_ = 0, keySwaps_ = 0;
     std::map<std::string, IdempotencyRecords> idempotencyRecords_;  // keyed by deduplication scope
--- a/src/testbed/emulator/scenario.cpp
+++ b/src/testbed/emulator/scenario.cpp
@@ -31,6 +31,7 @@
                                                       {"deaf", FaultKind::unresponsive},
                                                       {"spoil", FaultKind::malformedResponses},
                                                       {"slow_replies", FaultKind::slowReplies},
+                                                      {"stopped_replies", FaultKind::stoppedReplies},
                                                       {"router_terminate", FaultKind::routerTerminate},
                                                       {"crowd", FaultKind::crowd},
                                                       {"origin_stop", FaultKind::originStop},
@@ -145,6 +146,7 @@
         case FaultKind::errors:
         case FaultKind::reset:
         case FaultKind::slowReplies:
+        case FaultKind::stoppedReplies:
             fault.count = table.integer("count", 1, 1, scenario.cacheCount());
             fault.magnitude = table.fraction("by", std::nullopt);
             break;
@@ -250,6 +252,12 @@
     load.maxTries = table.integer("tries", 2, 1, 10);
     load.initialBackoff = table.millis("backoff_ms", 50.0);
     load.impatientShare = table.fraction("impatient", 0.0);
+    load.minPatience = table.millis("patience_ms", 0.0);
+    load.maxPatience = table.millis("max_patience_ms", static_cast<double>(load.minPatience / kMillisecond));
+    if (load.maxPatience < load.minPatience)
+        table.problem("max_patience_ms",
+                      fmt::format("is {} ms, must be at least patience_ms, which is {} ms",
+                                  milliseconds(load.maxPatience), milliseconds(load.minPatience)));
 }
 
 Scenario readScenarioTable(TomlTable& table) {
--- a/src/testbed/emulator/scenario.hpp
+++ b/src/testbed/emulator/scenario.hpp
@@ -107,6 +107,9 @@
     int maxTries = 1;
     Nanos initialBackoff = 0;
     double impatientShare = 0;  // share of requests whose client disconnects halfway to the deadline
+    // How long after its deadline the client of an unanswered request leaves, drawn between these; 0: after
+    // the scenario's slack.
+    Nanos minPatience = 0, maxPatience = 0;
 };
 
 struct RouterPlan {
@@ -140,10 +143,11 @@
     slowReader,          // cache servers read requests `magnitude` ms later
     unresponsive,        // one-way loss: requests arrive, replies are lost
     malformedResponses,  // a share `magnitude` of replies is malformed
-    slowReplies,    // a share `magnitude` of replies has its value sent late or slowly, by caches and origin
-    originStop,     // the origin stops and returns when the fault ends
-    originSlow,     // the origin runs slower by the factor `magnitude`
-    discoveryDown,  // polls fail
+    slowReplies,     // a share `magnitude` of replies has its value sent late or slowly, by caches and origin
+    stoppedReplies,  // a share `magnitude` of replies is never completed, by caches and origin
+    originStop,      // the origin stops and returns when the fault ends
+    originSlow,      // the origin runs slower by the factor `magnitude`
+    discoveryDown,   // polls fail
     discoverySilent,  // polls are never answered
     discoverySlow,  // polls are answered up to `magnitude` ms later, at random down to three quarters of that
     discoveryRefuse,  // a share `magnitude` of polls is answered 503
--- a/src/testbed/soak/draw.cpp
+++ b/src/testbed/soak/draw.cpp
@@ -79,6 +79,9 @@
     FaultKind::slowReplies,
     FaultKind::slowReplies,
     FaultKind::slowReplies,
+    FaultKind::stoppedReplies,
+    FaultKind::stoppedReplies,
+    FaultKind::stoppedReplies,
     FaultKind::routerTerminate,
     FaultKind::routerTerminate,
     FaultKind::crowd,
@@ -149,6 +152,7 @@
                 fault.magnitude = between(0.1, 0.6);
                 break;
             case FaultKind::slowReplies:
+            case FaultKind::stoppedReplies:
                 fault.magnitude = between(0.05, 0.5);
                 break;
             case FaultKind::crowd:
