--- a/src/testbed/audit/audit.hpp
+++ b/src/testbed/audit/audit.hpp
@@ -88,6 +88,9 @@
     void judgeForwardedTimeout(const LogEvent& entry, const Request& request);
     void noteClockFault(const LogEvent& entry);
     void noteCallFault(const LogEvent& entry);
+    void noteHoldUp(const LogEvent& entry);
+    // For how long a router may be held up at that time; 0 if no fault holds routers up.
+    Nanos allowedHoldUp(Nanos at) const;
     // Whether the routers' system calls may report that a sound connection has ended.
     bool areConnectionsFailing(Nanos at) const;
     void onAnswered(const LogEvent& entry);
@@ -121,6 +124,7 @@
     };
     // By call and error: intervals in which system calls report that the peer of a connection is gone.
     std::map<std::string, std::vector<Interval>> connectionFaults_;
+    std::vector<Interval> holdUps_;      // intervals in which the routers' event loops are held up
     std::vector<Interval> clockFaults_;  // intervals in which a machine's monotonic clock is wrong
     static bool overlapsAny(const std::vector<Interval>& intervals, Nanos from, Nanos to);
     void onClaim(const LogEvent& entry);
