--- a/tests/testbed_live_test.cpp
+++ b/tests/testbed_live_test.cpp
@@ -239,21 +239,31 @@
     }
 }
 
-// Guards against cutting off replies that arrive late or slowly, under other faults too.
-TEST_CASE("Seeded soaks keep all rules and detect a router that cuts replies off") {
+// Guards against cutting off replies that arrive late or slowly, and against waiting beyond the time at which
+// clients leave for replies that are never completed, under other faults too.
+TEST_CASE("Seeded soaks keep all rules and detect routers that cut replies off or wait for them too long") {
     const std::string folder = std::filesystem::path(POPPYSCALE_PROGRAM).parent_path().string();
     const auto soak = [](const std::string& seeds, const std::string& program) {
         return "soak " SCENARIOS "/soak.toml --routers 6 --seconds 20 " + seeds + " --program " + program;
     };
+    const auto variant = [](const std::string& name, int size) {
+        return "POPPYSCALE_TESTBED_PROGRAM_HARM=" + name +
+               " POPPYSCALE_TESTBED_PROGRAM_HARM_SIZE=" + std::to_string(size);
+    };
     BackgroundRun sound(soak("--first 5 --seeds 2", POPPYSCALE_PROGRAM));
-    BackgroundRun defective(soak("--first 5 --seeds 2", folder + "/poppyscale_defective_variant"),
-                            "POPPYSCALE_TESTBED_PROGRAM_HARM=cuts POPPYSCALE_TESTBED_PROGRAM_HARM_SIZE=200");
+    BackgroundRun cutting(soak("--first 5 --seeds 2", folder + "/poppyscale_defective_variant"),
+                          variant("cuts", 200));
     const CommandResult kept = sound.result();
     CHECK_MESSAGE(kept.exitCode == 0, kept.output);
     CHECK(kept.lastLine == "2 seeds: 2 kept, 0 broken, 0 void");
-    const CommandResult broken = defective.result();
+    BackgroundRun waiting(soak("--first 5 --seeds 2", folder + "/poppyscale_defective_variant"),
+                          variant("late", 300));
+    const CommandResult broken = cutting.result();
     CHECK_MESSAGE(broken.exitCode == 1, broken.output);
     CHECK(broken.output.find("cut at ") != std::string::npos);
+    const CommandResult late = waiting.result();
+    CHECK_MESSAGE(late.exitCode == 1, late.output);
+    CHECK(late.output.find("lost at ") != std::string::npos);
 }
 
 TEST_CASE("The testbed exits with 2 and names the scenario, key or program that is at fault") {
