--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "base/hash.hpp"
+#include "proxy/outcome_text.hpp"
 
 namespace poppyscale::proxy {
 namespace {
@@ -25,42 +26,6 @@
            outcome == AttemptOutcome::notExecuted;
 }
 
-std::string_view textOf(AttemptOutcome outcome) {
-    switch (outcome) {
-        case AttemptOutcome::succeeded:
-            return "succeeded";
-        case AttemptOutcome::failed:
-            return "failed";
-        case AttemptOutcome::timedOut:
-            return "timed_out";
-        case AttemptOutcome::connectionLost:
-            return "connection_lost";
-        case AttemptOutcome::notExecuted:
-            return "not_executed";
-        case AttemptOutcome::overloaded:
-            return "overloaded";
-        case AttemptOutcome::connectFailed:
-            return "connect_failed";
-        case AttemptOutcome::notSent:
-            return "not_sent";
-        case AttemptOutcome::cacheMiss:
-            return "cache_miss";
-    }
-    return "unknown";
-}
-
-std::string_view textOf(FinalResponse::Kind kind) {
-    switch (kind) {
-        case FinalResponse::Kind::succeeded:
-            return "succeeded";
-        case FinalResponse::Kind::rejected:
-            return "rejected";
-        case FinalResponse::Kind::failed:
-            break;
-    }
-    return "failed";
-}
-
 ConnectionPool::Limits limitsOf(const protocol::StartupConfig& config, std::size_t maxConnections) {
     return {.maxConnections = maxConnections,
             .idleTimeout = idleTimeoutBefore(config.serverIdleTimeout),
--- a/src/testbed/emulator/emulated_deployment.hpp
+++ b/src/testbed/emulator/emulated_deployment.hpp
@@ -189,6 +189,9 @@
     const Scenario& scenario() const { return scenario_; }
 
   private:
+    // Time until the clients' load balancer stops using a router that got SIGTERM.
+    static constexpr Nanos kTerminationDetectionDelay = 300 * kMillisecond;
+
     enum class ServerCondition : std::uint8_t { up, hung, down, gone };
     struct ServerState;  // a server's process and the faults that affect it
     struct AttemptInFlight {
