--- a/src/proxy/body_stream.hpp
+++ b/src/proxy/body_stream.hpp
@@ -3,7 +3,7 @@
 //
 // Neither side owns the other. A side that ends the stream early notifies the other one, and is not
 // called again after that: the source calls `BodySink::onAborted`, and the sink calls `BodySource::cancel` or
-// `BodySource::giveUp`, or returns `FlowControl::closed`.
+// `BodySource::expire`, or returns `FlowControl::closed`.
 #pragma once
 
 #include <cstdint>
@@ -39,7 +39,7 @@
     // The sink needs no further chunk.
     virtual void cancel() = 0;
     // As `cancel`, because the rest of the value has not arrived in time.
-    virtual void giveUp() { cancel(); }
+    virtual void expire() { cancel(); }
 };
 
 // The value of a write, which waits until an attempt streams it.
--- a/src/proxy/client_connection_responses.cpp
+++ b/src/proxy/client_connection_responses.cpp
@@ -154,7 +154,7 @@
 // out now, although requests behind it are lost if the rest does not follow.
 void ClientConnection::decideIncomplete(PipelinedRequest& front, Nanos now) {
     if (front.isArriving(now)) return pipeline_.stopCollecting(front);
-    front.giveUpSource();
+    front.expireSource();
     fail(front);
 }
 
--- a/src/proxy/pipelined_request.cpp
+++ b/src/proxy/pipelined_request.cpp
@@ -68,9 +68,9 @@
     source_->resume();
 }
 
-void PipelinedRequest::giveUpSource() {
+void PipelinedRequest::expireSource() {
     BodySource* const source = takeSource();
-    if (source) source->giveUp();
+    if (source) source->expire();
 }
 
 void PipelinedRequest::cancelSource() {
--- a/src/proxy/pipelined_request.hpp
+++ b/src/proxy/pipelined_request.hpp
@@ -90,7 +90,7 @@
     // Replaces a response of which nothing is written, and cancels its source if it has one.
     void replaceResponse(std::string_view text);
     // Ends the source of a streamed response, the rest of which has not arrived in time.
-    void giveUpSource();
+    void expireSource();
     // Whether the rest of a streamed response is still arriving.
     bool isArriving(Nanos now) const { return arrival_.isArriving(now); }
     // The streamed response is not read, since it is behind another one.
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -187,7 +187,7 @@
     breakOff(AttemptOutcome::succeeded, AttemptEndReason::cancelled);
 }
 
-void UpstreamConnection::giveUp() {
+void UpstreamConnection::expire() {
     responseSink_ = nullptr;
     breakOff(AttemptOutcome::failed, AttemptEndReason::stalledResponse);
 }
--- a/src/proxy/upstream_connection.hpp
+++ b/src/proxy/upstream_connection.hpp
@@ -97,7 +97,7 @@
     // BodySource of a streamed response.
     void resume() override;
     void cancel() override;
-    void giveUp() override;
+    void expire() override;
     // BodySink of a streamed request body.
     FlowControl onChunk(std::string_view bytes) override;
     void onAborted() override;
