--- a/src/testbed/audit/audit.cpp
+++ b/src/testbed/audit/audit.cpp
@@ -23,8 +23,6 @@
 constexpr Nanos kTimeoutUnit = kMillisecond;
 // A request on an open connection that is older has been read by its router.
 constexpr Nanos kMaxReadDelay = 150 * kMillisecond;
-// For how long a router may be held up between two steps.
-constexpr Nanos kMaxHoldUp = 150 * kMillisecond;
 // How late a router that is not held up gives its final responses, at most.
 constexpr Nanos kMaxLateness = 20 * kMillisecond;
 // How long, beyond the longest timeout, a router that is asked to stop passes on responses.
@@ -218,9 +216,7 @@
             onClaim(entry);
             break;
         case EventKind::fault:
-            noteClockFault(entry);
-            noteCallFault(entry);
-            noteHoldUp(entry);
+            faults_.note(entry);
             break;
         case EventKind::testbedLateness:
         case EventKind::opened:
@@ -243,11 +239,6 @@
     if (subject == "roll" && outcome == "ends") rolloutOutcome_ = toString(wordAt(entry.text, 2));
 }
 
-bool Audit::overlapsAny(const std::vector<Interval>& intervals, Nanos from, Nanos to) {
-    return std::any_of(intervals.begin(), intervals.end(),
-                       [&](const Interval& interval) { return interval.from <= to && from <= interval.to; });
-}
-
 // Returns whether a violation does not count. These do not: a wrong forwarded timeout while a machine's clock
 // was wrong, a missing answer of a router that was away, and anything that a router did while it ran a change
 // that the scenario rolls out as harmful. Agents and testbed read the same clock, but their reports may be
@@ -256,7 +247,7 @@
     if (violation.router < 0) return false;
     const Nanos slack = 4 * std::max<Nanos>(tolerance_, kMillisecond);
     if (violation.rule == "time" &&
-        overlapsAny(clockFaults_, violation.at - longestTimeout_ - slack, violation.at))
+        faults_.areClocksWrong(violation.at - longestTimeout_ - slack, violation.at))
         return true;
     const auto away = awayIntervals_.find(violation.router);
     if (violation.rule == "lost" && away != awayIntervals_.end() &&
@@ -278,7 +269,7 @@
     Request* const request = requestOf(entry);
     if (!request) return;
     const bool isBroken = (request->responseBegunAt >= 0 && request->isSlowReplyBroken) ||
-                          (entry.text == "broken" && areConnectionsFailing(entry.at));
+                          (entry.text == "broken" && faults_.areConnectionsFailing(entry.at));
     const auto downSince = downSince_.find(request->router);
     // A request that was refused just before the router came up may be logged after that.
     const bool isUp = downSince == downSince_.end() && request->issuedAt >= upSince_[request->router];
@@ -310,13 +301,13 @@
 void Audit::onSlowReplyCut(const LogEvent& entry) {
     Request* const request = requestOf(entry);
     if (!request) return;
-    if (entry.text == "broken" || areConnectionsFailing(entry.at)) {
+    if (entry.text == "broken" || faults_.areConnectionsFailing(entry.at)) {
         request->isSlowReplyBroken = true;
         return;
     }
     const bool canBePassedOn = request->slowReplyLength > kMaxCollectedValue && entry.number > 0;
     // A request that a router reads after a hold-up counts as having arrived when that began.
-    const Nanos earlier = kTimeoutUnit + allowedHoldUp(request->issuedAt);
+    const Nanos earlier = kTimeoutUnit + faults_.allowedHoldUp(request->issuedAt);
     const bool mayGiveUp = entry.at + earlier >= request->deadline && !canBePassedOn;
     if (entry.text == "closed" && !mayGiveUp) request->isSlowReplyClosed = true;
 }
@@ -326,7 +317,7 @@
     if (request.hasClientLeft || request.isUnanswered) return;
     if (request.finalResponses > 1) addViolation("lost", entry, "a second final response");
     const Nanos at = request.responseBegunAt >= 0 ? request.responseBegunAt : entry.at;
-    const Nanos holdUp = allowedHoldUp(request.deadline);
+    const Nanos holdUp = faults_.allowedHoldUp(request.deadline);
     const Nanos slack = holdUp > 0 ? std::max(deadlineSlack_, holdUp + kMaxLateness) : deadlineSlack_;
     if (at > request.deadline + slack)
         addViolation("lost", entry, "its final response came after its deadline");
@@ -418,45 +409,6 @@
                     remaining / kMillisecond));
 }
 
-// A read or write that fails with one of these errors shows that the kernel has given the connection up.
-void Audit::noteCallFault(const LogEvent& entry) {
-    const auto call = wordAt(entry.text, 2), effect = wordAt(entry.text, 3);
-    const bool isTransfer = call == "read" || call == "write";
-    const bool isFinal = effect == "ETIMEDOUT" || effect == "EHOSTUNREACH";
-    if (wordAt(entry.text, 1) != "calls_fail" || !isTransfer || !isFinal) return;
-    auto& intervals = connectionFaults_[fmt::format("{} {}", call, effect)];
-    if (wordAt(entry.text, 0) == "begins")
-        intervals.push_back({entry.at, std::numeric_limits<Nanos>::max()});
-    else if (!intervals.empty())
-        intervals.back().to = entry.at + kMaxReadDelay;
-}
-
-bool Audit::areConnectionsFailing(Nanos at) const {
-    return std::any_of(connectionFaults_.begin(), connectionFaults_.end(),
-                       [at](const auto& fault) { return overlapsAny(fault.second, at, at); });
-}
-
-void Audit::noteHoldUp(const LogEvent& entry) {
-    if (wordAt(entry.text, 1) != "hold_up") return;
-    if (wordAt(entry.text, 0) == "begins")
-        holdUps_.push_back({entry.at, std::numeric_limits<Nanos>::max()});
-    else if (!holdUps_.empty())
-        holdUps_.back().to = entry.at + kMaxHoldUp;
-}
-
-Nanos Audit::allowedHoldUp(Nanos at) const { return overlapsAny(holdUps_, at, at) ? kMaxHoldUp : 0; }
-
-// On a machine whose clock runs at another rate, or stands still while the machine sleeps, no process can
-// forward a correct timeout.
-void Audit::noteClockFault(const LogEvent& entry) {
-    const auto kind = wordAt(entry.text, 1);
-    if (kind != "clock_rate" && kind != "machine_sleep") return;
-    if (wordAt(entry.text, 0) == "begins")
-        clockFaults_.push_back({entry.at, std::numeric_limits<Nanos>::max()});
-    else if (!clockFaults_.empty())
-        clockFaults_.back().to = entry.at;
-}
-
 void Audit::onServerOverloaded(const LogEvent& entry) {
     Server& server = servers_.at(static_cast<std::size_t>(entry.server));
     double totalWork = 0, countedWork = 0;
--- a/src/testbed/audit/audit.hpp
+++ b/src/testbed/audit/audit.hpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "testbed/audit/fault_intervals.hpp"
 #include "testbed/emulator/event_log.hpp"
 
 namespace poppyscale::testbed {
@@ -86,13 +87,6 @@
     void addViolation(const char* rule, const LogEvent& entry, std::string description);
     void onAttemptSent(const LogEvent& entry);
     void judgeForwardedTimeout(const LogEvent& entry, const Request& request);
-    void noteClockFault(const LogEvent& entry);
-    void noteCallFault(const LogEvent& entry);
-    void noteHoldUp(const LogEvent& entry);
-    // For how long a router may be held up at that time; 0 if no fault holds routers up.
-    Nanos allowedHoldUp(Nanos at) const;
-    // Whether the routers' system calls may report that a sound connection has ended.
-    bool areConnectionsFailing(Nanos at) const;
     void onAnswered(const LogEvent& entry);
     void onRejected(const LogEvent& entry);
     void onServerOverloaded(const LogEvent& entry);
@@ -119,14 +113,7 @@
     std::map<int, Nanos> stoppingSince_;
     std::map<int, Nanos> upSince_;  // by router: when it last became reachable
 
-    struct Interval {
-        Nanos from, to;
-    };
-    // By call and error: intervals in which system calls report that the peer of a connection is gone.
-    std::map<std::string, std::vector<Interval>> connectionFaults_;
-    std::vector<Interval> holdUps_;      // intervals in which the routers' event loops are held up
-    std::vector<Interval> clockFaults_;  // intervals in which a machine's monotonic clock is wrong
-    static bool overlapsAny(const std::vector<Interval>& intervals, Nanos from, Nanos to);
+    FaultIntervals faults_;
     void onClaim(const LogEvent& entry);
     bool isExcused(const Violation& violation) const;
     bool hasMachines_ = false, hasHarmfulChange_ = false;
