--- a/tests/unfinished_response_test.cpp
+++ b/tests/unfinished_response_test.cpp
@@ -310,6 +310,8 @@
     for (const Sequence sequence : {Sequence::requestsBehind, Sequence::behindAnother})
         for (const Stop stop : {head, half, allButTwoBytes, trickle})
             rows.push_back({.stop = stop, .sequence = sequence});
+    for (const Stop stop : {head, half})
+        rows.push_back({.stop = stop, .length = 200'000, .sequence = Sequence::behindAnother});
     rows.push_back({.framing = originWithLength, .hasInterimResponse = true});
     rows.push_back({.failsFirst = true});
     // Writes, whose responses come from the origin, with short and with streamed values.
@@ -393,37 +395,62 @@
         }
 }
 
+namespace {
+
+// Reads of many clients at once whose servers stop in the middle of their replies to one read in `period`.
+struct CrowdResult {
+    std::atomic<int> late{0}, unanswered{0}, delivered{0};
+};
+
+void runCrowd(const RouterFixture& fixture, const Row& row, CrowdResult& result) {
+    constexpr int kClients = 40, kReadsPerClient = 4;
+    std::list<std::jthread> clients;
+    for (int number = 0; number < kClients; ++number)
+        clients.emplace_back([&, number] {
+            Socket client = fixture.client();
+            for (int i = 0; i < kReadsPerClient; ++i) {
+                const auto sentAt = Clock::now();
+                client.send(requestOf(row, "stop" + std::to_string(number * kReadsPerClient + i)));
+                const Answer answer = readAnswer(client, row, sentAt);
+                result.late += answer.latenessMs > kLateMs;
+                result.unanswered += answer.text.empty() || answer.latenessMs > kPatienceMs;
+                result.delivered += answer.text == "quick";
+            }
+        });
+}
+
+}  // namespace
+
 // Guards against clients that leave without an answer, if all servers or one reply in twelve stops in the
-// middle.
+// middle, and if the router has no memory to read all of the replies.
 TEST_CASE("no client of a crowd leaves unanswered beside servers that stop in the middle") {
-    constexpr int kClients = 40, kReadsPerClient = 4, kTimeoutMs = 450;
-    for (const int period : {1, 12}) {
-        const Row row{.stop = Stop::allButTwoBytes, .length = 30'000, .timeoutMs = kTimeoutMs};
-        RouterFixture fixture(7);
-        UnfinishedServers servers(fixture, row, period);
+    struct Setting {
+        int period;
+        std::size_t length;
+        int memoryMb;
+    };
+    constexpr Setting kSettings[]{{1, 30'000, 64}, {12, 30'000, 64}, {1, 60'000, 16}};
+    for (const Setting& setting : kSettings) {
+        const Row row{.stop = Stop::allButTwoBytes, .length = setting.length, .timeoutMs = 450};
+        auto start = minimalStartConfig();
+        start["limits"]["memory_mb"] = setting.memoryMb;
+        RouterFixture fixture(7, start);
+        UnfinishedServers servers(fixture, row, setting.period);
         learnLatency(fixture);
-        std::atomic<int> late{0}, unanswered{0}, delivered{0};
-        {
-            std::list<std::jthread> clients;
-            for (int number = 0; number < kClients; ++number)
-                clients.emplace_back([&, number] {
-                    Socket client = fixture.client();
-                    for (int i = 0; i < kReadsPerClient; ++i) {
-                        const auto sentAt = Clock::now();
-                        client.send(requestOf(row, "stop" + std::to_string(number * kReadsPerClient + i)));
-                        const Answer answer = readAnswer(client, row, sentAt);
-                        late += answer.latenessMs > kLateMs;
-                        unanswered += answer.text.empty() || answer.latenessMs > kPatienceMs;
-                        delivered += answer.text == "quick";
-                    }
-                });
-        }
+        CrowdResult result;
+        runCrowd(fixture, row, result);
         const std::string log = fixture.program.log();
         CAPTURE(log);
-        CAPTURE(period);
-        MESSAGE("one in ", period, ": ", delivered.load(), " delivered, ", servers.unfinished(),
-                " unfinished, ", late.load(), " later than 20 ms, ", unanswered.load(), " unanswered");
-        CHECK(unanswered == 0);
+        CAPTURE(setting.period);
+        CAPTURE(setting.memoryMb);
+        const std::string notRead = "reason=incomplete_response outcome=not_executed";
+        const bool wasMemoryShort = log.find(notRead) != std::string::npos;
+        MESSAGE("one in ", setting.period, ", ", setting.memoryMb, " MB: ", result.delivered.load(),
+                " delivered, ", servers.unfinished(), " unfinished, ", result.late.load(),
+                " later than 20 ms, ", result.unanswered.load(),
+                " unanswered, memory short: ", wasMemoryShort);
+        CHECK(result.unanswered == 0);
         CHECK(servers.unfinished() > 0);
+        CHECK(wasMemoryShort == (setting.memoryMb == 16));
     }
 }
