Testbed: wait for an address that a starting process still holds

The testbed forks to start a router; until its exec, the child has a copy of each listening socket. If the testbed closes one and listens again at that moment, which an end of a partition does for a hundred addresses, bind fails. Shown apart from the testbed: after a fork bind fails with EADDRINUSE until the child has ended. Change: `LiveRun::listenOn` tries again each millisecond, for a second at most.

--- a/src/testbed/drivers/live/live_run.cpp
+++ b/src/testbed/drivers/live/live_run.cpp
@@ -20,6 +20,7 @@
 #include <nlohmann/json.hpp>
 #include <random>
 #include <set>
+#include <thread>
 #include <unordered_map>
 
 #include "protocol/number.hpp"
@@ -42,6 +43,7 @@
 
 constexpr Nanos kSecond = 1'000 * kMillisecond;
 constexpr Nanos kReadinessTimeout = 15 * kSecond;
+constexpr Nanos kMaxListenWait = kSecond;
 // A router reads a request on an open connection within this time.
 constexpr Nanos kMaxReadDelay = 150 * kMillisecond;
 constexpr Nanos kReadinessProbeInterval = 20 * kMillisecond;
@@ -323,6 +325,7 @@
         std::unique_ptr<UnresponsiveSocket> unresponsiveSocket;
     };
     void claimSubnet();
+    static void listenOn(transport::Listener& listener, const Address& at);
     void signalRouter(int router, int number);
     void writeConfiguration(int router);
     nlohmann::json endpointListJson(int router, const EndpointListMessage& list) const;
@@ -695,7 +698,18 @@
             const ConnectionId id = connection->id();
             serverConnections[id] = std::move(connection);
         });
-    const std::string problem = entry.listener->listen(at);
+    listenOn(*entry.listener, at);
+}
+
+// Between its fork and its exec, a process that the testbed starts still has a copy of each listening socket,
+// so that an address which was just closed may be in use for some milliseconds.
+void LiveRun::listenOn(transport::Listener& listener, const Address& at) {
+    std::string problem = listener.listen(at);
+    const Nanos end = transport::EventLoop::now() + kMaxListenWait;
+    while (problem == uv_strerror(UV_EADDRINUSE) && transport::EventLoop::now() < end) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        problem = listener.listen(at);
+    }
     if (!problem.empty()) throw RunError(fmt::format("can't listen on {}: {}", formatAddress(at), problem));
 }
 
@@ -708,9 +722,7 @@
                 if (connection->start(finish)) discoveryConnections.push_back(std::move(connection));
             }));
         const Address at = addressOf(r, static_cast<std::uint16_t>(kDiscoveryPort + addressIndex));
-        const std::string problem = discoveryListeners_.back()->listen(at);
-        if (!problem.empty())
-            throw RunError(fmt::format("can't listen on {}: {}", formatAddress(at), problem));
+        listenOn(*discoveryListeners_.back(), at);
     }
     discoveryAddressIndex_ = addressIndex;
 }
